--- /dev/null
+++ b/crates/basilhaven/src/gateway/cluster.rs
@@ -0,0 +1,297 @@
+//! The hosts of the system, as each host sees them.
+//!
+//! Every host counts beats and passes on the highest count that it has heard of each other host. A
+//! host is live while its count rises.
+
+use std::cell::{Cell, RefCell};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use indexmap::{IndexMap, IndexSet};
+use monoio::net::udp::UdpSocket;
+use serde::{Deserialize, Serialize};
+
+/// The time between two beats.
+const BEAT: Duration = Duration::from_millis(250);
+
+/// Hosts that a host sends its view to at each beat.
+const FANOUT: usize = 3;
+
+/// A host whose count has not risen for this long is taken for dead.
+const DEAD_AFTER: Duration = Duration::from_millis(1800);
+
+/// How long a host that was live counts among those that may send to cold upstreams.
+const EXPECTED_MEMORY: Duration = Duration::from_secs(8);
+
+/// How long after its start a host may take itself for alone.
+const LONELY_TIME: Duration = Duration::from_millis(1500);
+
+/// The most hosts that one datagram tells of; it stays below 1,400 bytes.
+const MAX_PULSES: usize = 48;
+
+/// Bytes of a datagram.
+const MAX_DATAGRAM_LEN: usize = 4096;
+
+/// What a host tells the store of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Where other hosts reach it.
+    pub peer: SocketAddr,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// The data centre that it stands in.
+    pub data_centre: Rc<str>,
+}
+
+/// Whether callers are sent to a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum State {
+    /// It has started, and can't serve yet.
+    Starting,
+    /// It serves.
+    Ready,
+    /// It is stopping.
+    Leaving,
+}
+
+/// What hosts tell each other of one host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pulse {
+    address: [u8; 4],
+    peer_port: u16,
+    caller_port: u16,
+    data_centre: u32,
+    /// Tells one run of its process from another.
+    run: u32,
+    beat: u32,
+    state: State,
+}
+
+impl Pulse {
+    /// Where other hosts reach it.
+    pub fn peer(&self) -> SocketAddr {
+        SocketAddrV4::new(Ipv4Addr::from(self.address), self.peer_port).into()
+    }
+
+    /// Where callers reach it.
+    pub fn callers(&self) -> SocketAddr {
+        SocketAddrV4::new(Ipv4Addr::from(self.address), self.caller_port).into()
+    }
+}
+
+/// A message between hosts.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// What the sender has heard of hosts, itself first.
+    Pulses(Vec<Pulse>),
+}
+
+/// A host that was heard of.
+#[derive(Debug, Clone, Copy)]
+struct Heard {
+    pulse: Pulse,
+    at: Instant,
+}
+
+/// The hosts that one host knows.
+#[derive(Debug)]
+pub struct Members {
+    own: Cell<Pulse>,
+    started: Instant,
+    heard: RefCell<IndexMap<SocketAddr, Heard>>,
+    contacts: RefCell<IndexSet<SocketAddr>>,
+}
+
+/// A short form of a name, the same on all hosts.
+fn digest(name: &str) -> u32 {
+    rapidhash::v3::rapidhash_v3(name.as_bytes()) as u32
+}
+
+impl Members {
+    /// A host that knows no other one yet; addresses that are not IPv4 are reached by no host.
+    pub fn new(record: &Record, now: Instant) -> Members {
+        let address = match record.peer {
+            SocketAddr::V4(address) => address.ip().octets(),
+            SocketAddr::V6(_) => [0; 4],
+        };
+        let own = Pulse {
+            address,
+            peer_port: record.peer.port(),
+            caller_port: record.callers.port(),
+            data_centre: digest(&record.data_centre),
+            run: fastrand::u32(..),
+            beat: 0,
+            state: State::Starting,
+        };
+        Members {
+            own: Cell::new(own),
+            started: now,
+            heard: RefCell::default(),
+            contacts: RefCell::default(),
+        }
+    }
+
+    /// Adds an address at which a host may be.
+    pub fn add_contact(&self, peer: SocketAddr) {
+        if peer != self.own.get().peer() {
+            self.contacts.borrow_mut().insert(peer);
+        }
+    }
+
+    /// Whether callers are sent to this host.
+    pub fn state(&self) -> State {
+        self.own.get().state
+    }
+
+    /// Changes whether callers are sent to this host.
+    pub fn set_state(&self, state: State) {
+        self.own.set(Pulse { state, ..self.own.get() });
+    }
+
+    /// Takes in what a host has told; returns whether it told of a host that was not known.
+    pub fn hear(&self, from: SocketAddr, pulses: &[Pulse], now: Instant) -> bool {
+        let own = self.own.get().peer();
+        let mut heard = self.heard.borrow_mut();
+        let mut news = false;
+        for &pulse in pulses.iter().filter(|pulse| pulse.peer() != own) {
+            let is_direct = pulse.peer() == from;
+            let is_newer = match heard.get(&pulse.peer()) {
+                None => true,
+                Some(known) if known.pulse.run == pulse.run => pulse.beat > known.pulse.beat,
+                // Only the host itself, or the silence of its earlier run, ends that run.
+                Some(known) => is_direct || now.saturating_duration_since(known.at) > DEAD_AFTER,
+            };
+            if is_newer {
+                let known = heard.insert(pulse.peer(), Heard { pulse, at: now });
+                news |= known.is_none_or(|known| known.pulse.run != pulse.run);
+            }
+        }
+        news
+    }
+
+    /// The live hosts, this one first.
+    fn live(&self, now: Instant) -> Vec<Pulse> {
+        let heard = self.heard.borrow();
+        let is_live = |h: &&Heard| now.saturating_duration_since(h.at) <= DEAD_AFTER;
+        let others = heard.values().filter(is_live).map(|h| h.pulse);
+        std::iter::once(self.own.get()).chain(others).collect()
+    }
+
+    /// The hosts that callers may be sent to, those of the caller's data centre first; `None` while this
+    /// host may not know the others yet.
+    pub fn serving(&self, near: &str, now: Instant) -> Option<Vec<SocketAddr>> {
+        let mut live = self.live(now);
+        if live.len() == 1 && now.saturating_duration_since(self.started) < LONELY_TIME {
+            return None;
+        }
+        live.retain(|pulse| pulse.state == State::Ready);
+        let near = digest(near);
+        live.sort_by_key(|pulse| pulse.data_centre != near);
+        Some(live.iter().map(Pulse::callers).collect())
+    }
+
+    /// How many hosts may be sending calls, this one among them.
+    pub fn expected(&self, now: Instant) -> usize {
+        let heard = self.heard.borrow();
+        let recent =
+            heard.values().filter(|h| now.saturating_duration_since(h.at) <= EXPECTED_MEMORY);
+        let known = recent.count() + 1;
+        let young = now.saturating_duration_since(self.started) < EXPECTED_MEMORY;
+        match young {
+            true => known.max(self.contacts.borrow().len() + 1),
+            false => known,
+        }
+    }
+
+    /// The datagram of the next beat, and to whom it goes.
+    fn beat(&self, now: Instant) -> (Frame, Vec<SocketAddr>) {
+        let own = self.own.get();
+        self.own.set(Pulse { beat: own.beat + 1, ..own });
+        let mut pulses = self.live(now);
+        let mut targets: Vec<SocketAddr> = pulses[1..].iter().map(Pulse::peer).collect();
+        fastrand::shuffle(&mut targets);
+        targets.truncate(FANOUT);
+        let silent: Vec<SocketAddr> = {
+            let contacts = self.contacts.borrow();
+            let is_known = |address: &SocketAddr| pulses.iter().any(|p| p.peer() == *address);
+            contacts.iter().filter(|address| !is_known(address)).copied().collect()
+        };
+        if targets.is_empty() {
+            targets = silent;
+        } else if let Some(one) = fastrand::choice(&silent) {
+            targets.push(*one);
+        }
+        if pulses.len() > MAX_PULSES {
+            fastrand::shuffle(&mut pulses[1..]);
+            pulses.truncate(MAX_PULSES);
+        }
+        (Frame::Pulses(pulses), targets)
+    }
+
+    /// Removes hosts that have been silent for so long that nothing depends on them.
+    fn forget(&self, now: Instant) {
+        let mut heard = self.heard.borrow_mut();
+        heard.retain(|_, h| now.saturating_duration_since(h.at) <= EXPECTED_MEMORY);
+    }
+}
+
+/// Sends this host's view at each beat.
+pub async fn spread(members: Rc<Members>, socket: Rc<UdpSocket>) {
+    loop {
+        send_beat(&members, &socket).await;
+        members.forget(Instant::now());
+        monoio::time::sleep(BEAT).await;
+    }
+}
+
+/// Sends this host's view now.
+pub async fn send_beat(members: &Members, socket: &UdpSocket) {
+    let (frame, targets) = members.beat(Instant::now());
+    let Ok(bytes) = postcard::to_stdvec(&frame) else { return };
+    for target in targets {
+        send(socket, bytes.clone(), target).await;
+    }
+}
+
+async fn send(socket: &UdpSocket, bytes: Vec<u8>, target: SocketAddr) {
+    let (result, _) = socket.send_to(bytes, target).await;
+    if let Err(error) = result {
+        tracing::debug!(event = "datagram_not_sent", %target, %error);
+    }
+}
+
+/// Takes in what other hosts send.
+pub async fn receive(members: Rc<Members>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_LEN];
+    loop {
+        let (result, filled) = socket.recv_from(buffer).await;
+        buffer = filled;
+        let (len, from) = match result {
+            Ok(received) => received,
+            Err(error) => {
+                tracing::warn!(event = "datagram_not_received", %error);
+                monoio::time::sleep(BEAT).await;
+                continue;
+            }
+        };
+        match postcard::from_bytes::<Frame>(&buffer[..len]) {
+            Ok(Frame::Pulses(pulses)) => {
+                if members.hear(from, &pulses, Instant::now()) {
+                    tracing::info!(event = "host_met", %from, live = members.live(Instant::now()).len());
+                    reply(&members, &socket, from).await;
+                }
+            }
+            Err(error) => tracing::debug!(event = "datagram_unreadable", %from, %error),
+        }
+    }
+}
+
+/// Tells a host that brought news what this one knows, so that it need not wait for a beat.
+async fn reply(members: &Members, socket: &UdpSocket, target: SocketAddr) {
+    let mut pulses = members.live(Instant::now());
+    pulses.truncate(MAX_PULSES);
+    if let Ok(bytes) = postcard::to_stdvec(&Frame::Pulses(pulses)) {
+        send(socket, bytes, target).await;
+    }
+}
--- /dev/null
+++ b/crates/basilhaven/src/gateway/front.rs
@@ -0,0 +1,486 @@
+//! Callers' connections: one task each, from accept to close.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::future::{self, Either};
+use http::header::{self, HeaderMap, HeaderValue};
+use monoio::net::{TcpListener, TcpStream};
+
+use super::{attempt, cluster, news, place, protocol, retries, route, signal};
+use crate::http1::{self, body, head};
+use crate::profile;
+
+/// Pause after a failed accept, such as one for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// How long a caller may take to read an answer.
+const SEND_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How long a connection may take to end after its last answer.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long a caller may take to send a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How long a connection stays idle after its last answer while the host stops, for a request that is
+/// on its way.
+const STOP_GRACE: Duration = Duration::from_millis(300);
+
+/// The time within which a refused caller may come back, when the load is not expected to last.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// A part of the route's target below which no call can be expected to be served.
+const LEAST_TIME_SHARE: f64 = 0.2;
+
+/// What a failed send weighs against an upstream; one that it shed weighs less.
+const FAILURE_WEIGHT: f64 = 1.0;
+const SHED_WEIGHT: f64 = 0.5;
+
+/// What the tasks of callers' connections share.
+#[derive(Debug)]
+pub struct Front {
+    /// The configuration in force.
+    pub book: Rc<news::Book>,
+    /// Places calls.
+    pub placer: place::Placer,
+    /// The hosts.
+    pub members: Rc<cluster::Members>,
+    /// The protocol.
+    pub protocol: protocol::Protocol,
+    /// What this host may spend on sending calls again.
+    pub retries: retries::Allowance,
+    /// Connections that are open.
+    pub open: Cell<usize>,
+    /// Calls that are being served.
+    pub busy: Cell<usize>,
+    /// Notified when idle connections are to be closed.
+    pub closing: signal::Signal,
+}
+
+/// Whether a connection may carry another request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Next {
+    /// It may.
+    Request,
+    /// It is closed once the caller has read everything.
+    Close,
+    /// It is closed at once: the caller has gone, or is to see that its answer has no end.
+    Abort,
+}
+
+/// What a caller is told of a call.
+#[derive(Debug)]
+enum Reply {
+    /// The answer of an upstream.
+    Answer(attempt::Answer),
+    /// The call did not run, nor will; it may come back after a while.
+    NotRun(Duration),
+    /// The call may have run; no answer came.
+    Unknown(http::StatusCode),
+}
+
+/// Accepts callers.
+pub async fn accept(front: Rc<Front>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                front.open.set(front.open.get() + 1);
+                let front = Rc::clone(&front);
+                monoio::spawn(async move {
+                    connection(&front, stream).await;
+                    front.open.set(front.open.get() - 1);
+                });
+            }
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                monoio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(front: &Front, stream: TcpStream) {
+    let mut conn = match http1::Conn::new(stream) {
+        Ok(conn) => conn,
+        Err(error) => {
+            tracing::debug!(event = "connection_lost", %error);
+            return;
+        }
+    };
+    match requests(front, &mut conn).await {
+        Ok(Next::Request | Next::Close) => conn.linger(LINGER_TIMEOUT).await,
+        Ok(Next::Abort) => conn.reset_on_close(),
+        Err(error) => tracing::debug!(event = "connection_lost", %error),
+    }
+}
+
+/// Serves one request after another; tells how the connection is to be closed.
+async fn requests(front: &Front, conn: &mut http1::Conn) -> Result<Next, http1::Error> {
+    loop {
+        let limits = front.book.limits();
+        if !await_request(front, conn, limits.idle_timeout).await {
+            return Ok(Next::Close);
+        }
+        let read = conn.read_request(limits.max_head_len);
+        let request = match monoio::time::timeout(limits.head_timeout, read).await {
+            Ok(Ok(Some(request))) => request,
+            Ok(Ok(None)) => return Ok(Next::Close),
+            Ok(Err(error)) => return reject(conn, &error).await,
+            Err(_) => return Ok(Next::Abort),
+        };
+        front.busy.set(front.busy.get() + 1);
+        let next = serve(front, conn, request, &limits).await;
+        front.busy.set(front.busy.get() - 1);
+        match next? {
+            Next::Request => {}
+            next => return Ok(next),
+        }
+    }
+}
+
+/// Waits until the caller sends something; false when the connection is to be closed.
+async fn await_request(front: &Front, conn: &http1::Conn, idle_timeout: Duration) -> bool {
+    if conn.has_leftover() {
+        return true;
+    }
+    let arrived = std::pin::pin!(monoio::time::timeout(idle_timeout, conn.readable()));
+    let closing = std::pin::pin!(async {
+        front.closing.changed(0).await;
+        monoio::time::sleep(STOP_GRACE).await;
+    });
+    match future::select(arrived, closing).await {
+        Either::Left((Ok(Ok(())), _)) => true,
+        Either::Left(_) => false,
+        // A request that is here already is still served.
+        Either::Right(_) => conn.has_arrived(),
+    }
+}
+
+/// Tells a caller what is wrong with its request; the connection is closed after it.
+async fn reject(conn: &mut http1::Conn, error: &http1::Error) -> Result<Next, http1::Error> {
+    let status = match error.category() {
+        http1::Category::Malformed => http::StatusCode::BAD_REQUEST,
+        http1::Category::HeadTooLarge => http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+        http1::Category::CutShort | http1::Category::Io => return Ok(Next::Abort),
+    };
+    tracing::info!(event = "request_rejected", status = status.as_u16(), %error);
+    send(conn, status, &HeaderMap::new(), Bytes::new(), Next::Close).await
+}
+
+async fn serve(
+    front: &Front,
+    conn: &mut http1::Conn,
+    request: head::Request,
+    limits: &route::Limits,
+) -> Result<Next, http1::Error> {
+    let started = Instant::now();
+    let keeps = head::keeps_alive(request.parts.version, &request.parts.headers);
+    let stays = front.members.state() != cluster::State::Leaving;
+    let next = if keeps && stays { Next::Request } else { Next::Close };
+    let body = match read_body(conn, &request, limits).await {
+        Ok(Some(body)) => body,
+        Ok(None) => {
+            let status = http::StatusCode::PAYLOAD_TOO_LARGE;
+            return send(conn, status, &HeaderMap::new(), Bytes::new(), Next::Close).await;
+        }
+        Err(error) => return reject(conn, &error).await,
+    };
+    let Some(table) = front.book.table() else {
+        return not_run(conn, RETRY_AFTER, next).await;
+    };
+    let host = host_name(&request.parts).unwrap_or_default();
+    let Some(route) = table.find(host, request.parts.uri.path()).cloned() else {
+        tracing::info!(event = "no_route", host, version = table.version);
+        return send(conn, http::StatusCode::NOT_FOUND, &HeaderMap::new(), Bytes::new(), next)
+            .await;
+    };
+    let call = call(front, request, body, &route, started);
+    let left = Cell::new(false);
+    let reply = {
+        let run = std::pin::pin!(run(front, &table, &route, &call, &left));
+        let ended = std::pin::pin!(conn.ended());
+        match future::select(run, ended).await {
+            Either::Left((reply, _)) => reply,
+            Either::Right(((), run)) => {
+                left.set(true);
+                // A call that may not be repeated is not cut off half-way.
+                if call.idempotency == profile::Idempotency::AtMostOnce {
+                    run.await;
+                }
+                tracing::info!(event = "caller_left", id = id_text(&call), route = &*route.name);
+                return Ok(Next::Abort);
+            }
+        }
+    };
+    deliver(conn, reply, next).await
+}
+
+/// The host that a request names, without the port.
+fn host_name(parts: &http::request::Parts) -> Option<&str> {
+    if let Some(host) = parts.uri.host() {
+        return Some(host);
+    }
+    let host = parts.headers.get(header::HOST)?.to_str().ok()?;
+    Some(host.split(':').next().unwrap_or(host))
+}
+
+/// Reads a request's whole body; `None` when it is too long.
+async fn read_body(
+    conn: &mut http1::Conn,
+    request: &head::Request,
+    limits: &route::Limits,
+) -> Result<Option<Bytes>, http1::Error> {
+    let mut reader = body::Reader::new(request.framing);
+    if reader.is_done() {
+        return Ok(Some(Bytes::new()));
+    }
+    let expects = request.parts.headers.get(header::EXPECT);
+    if expects.is_some_and(|e| e.as_bytes().eq_ignore_ascii_case(b"100-continue")) {
+        conn.write(Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n")).await?;
+    }
+    let whole = async {
+        let mut held = BytesMut::new();
+        while let Some(piece) = reader.next(conn).await? {
+            if held.len() + piece.len() > limits.max_body_len {
+                return Ok(None);
+            }
+            held.extend_from_slice(&piece);
+        }
+        Ok(Some(held.freeze()))
+    };
+    match monoio::time::timeout(BODY_TIMEOUT, whole).await {
+        Ok(result) => result,
+        Err(_) => Err(http1::Error::cut_short("body took too long")),
+    }
+}
+
+fn call(
+    front: &Front,
+    request: head::Request,
+    body: Bytes,
+    route: &route::Route,
+    started: Instant,
+) -> attempt::Call {
+    let fields = &front.protocol.fields;
+    let mut parts = request.parts;
+    head::remove_hop_by_hop(&mut parts.headers);
+    parts.headers.remove(header::EXPECT);
+    let deadline =
+        parts.headers.get(&fields.deadline_ms).and_then(|v| v.to_str().ok()?.parse().ok());
+    let deadline = deadline.map_or(route.timeout, Duration::from_millis);
+    let id = parts.headers.get(&fields.request_id).cloned();
+    let until = started + deadline.min(route.timeout);
+    attempt::Call { parts, body, id, idempotency: route.idempotency, until }
+}
+
+fn id_text(call: &attempt::Call) -> &str {
+    call.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default()
+}
+
+/// Sends a call to one upstream after another until it is answered, or may not be sent again.
+async fn run(
+    front: &Front,
+    table: &route::Table,
+    route: &route::Route,
+    call: &attempt::Call,
+    left: &Cell<bool>,
+) -> Reply {
+    let started = Instant::now();
+    let found = route.draw().and_then(|name| table.services.get_key_value(name));
+    let Some((name, service)) = found else {
+        tracing::warn!(event = "no_service", route = &*route.name, version = table.version);
+        return Reply::NotRun(RETRY_AFTER);
+    };
+    let desk = front.placer.desk(name);
+    desk.retries.count_call(started);
+    let least = route.target.mul_f64(LEAST_TIME_SHARE);
+    let mut tried: Vec<Rc<str>> = Vec::new();
+    let mut reply = Reply::NotRun(RETRY_AFTER);
+    let mut may_have_run = false;
+    let mut sends = 0;
+    while sends < route.max_attempts.max(1) {
+        if sends > 0 && !desk.retries.try_spend(Instant::now(), front.retries) {
+            break;
+        }
+        let until = call.until.checked_sub(least).unwrap_or(call.until);
+        let need = place::Need { service: name, rank: route.rank, tried: &tried, until };
+        let lease = match front.placer.place(&need, service).await {
+            Ok(lease) => lease,
+            Err(refusal) => {
+                log_refusal(call, route, name, refusal, sends, started);
+                break;
+            }
+        };
+        if left.get() {
+            break;
+        }
+        sends += 1;
+        let sent = Instant::now();
+        let end = attempt::send(call, &lease.upstream, &front.protocol).await;
+        log_send(call, route, table, &lease, &end, sent.elapsed());
+        tried.push(Rc::clone(&lease.upstream.id));
+        let now = Instant::now();
+        match end {
+            attempt::End::Answered(answer) => {
+                let failed = answer.status.is_server_error();
+                match failed {
+                    true => lease.upstream.note_failure(now, FAILURE_WEIGHT),
+                    false => lease.upstream.note_success(now),
+                }
+                reply = Reply::Answer(answer);
+                if !failed || call.idempotency == profile::Idempotency::AtMostOnce {
+                    break;
+                }
+                may_have_run = true;
+            }
+            attempt::End::NotRun(cause) => {
+                let weight = match cause {
+                    attempt::Cause::Shed => SHED_WEIGHT,
+                    _ => FAILURE_WEIGHT,
+                };
+                lease.upstream.note_failure(now, weight);
+            }
+            attempt::End::Unknown(_) => {
+                lease.upstream.note_failure(now, FAILURE_WEIGHT);
+                may_have_run = true;
+                if matches!(reply, Reply::NotRun(_)) {
+                    reply = Reply::Unknown(http::StatusCode::BAD_GATEWAY);
+                }
+                if call.idempotency == profile::Idempotency::AtMostOnce {
+                    break;
+                }
+            }
+        }
+    }
+    match reply {
+        Reply::NotRun(_) if may_have_run => Reply::Unknown(http::StatusCode::GATEWAY_TIMEOUT),
+        reply => reply,
+    }
+}
+
+fn log_refusal(
+    call: &attempt::Call,
+    route: &route::Route,
+    service: &str,
+    refusal: place::Refusal,
+    sends: u32,
+    started: Instant,
+) {
+    metrics::counter!("basilhaven_refusals_total", "reason" => refusal.to_string()).increment(1);
+    tracing::info!(
+        event = "not_placed",
+        id = id_text(call),
+        route = &*route.name,
+        service,
+        reason = %refusal,
+        sends,
+        waited_ms = started.elapsed().as_millis() as u64,
+    );
+}
+
+fn log_send(
+    call: &attempt::Call,
+    route: &route::Route,
+    table: &route::Table,
+    lease: &place::Lease,
+    end: &attempt::End,
+    took: Duration,
+) {
+    let outcome = match end {
+        attempt::End::Answered(answer) => answer.status.as_u16().to_string(),
+        attempt::End::NotRun(cause) => format!("not-run: {cause}"),
+        attempt::End::Unknown(cause) => format!("unknown: {cause}"),
+    };
+    metrics::histogram!("basilhaven_send_seconds").record(took.as_secs_f64());
+    tracing::info!(
+        event = "sent",
+        id = id_text(call),
+        route = &*route.name,
+        version = table.version,
+        upstream = &*lease.upstream.id,
+        cost = lease.cost as f32,
+        candidates = lease.candidates,
+        report_age_ms = lease.report_age.as_millis() as u64,
+        took_ms = took.as_millis() as u64,
+        outcome,
+    );
+}
+
+async fn deliver(conn: &mut http1::Conn, reply: Reply, next: Next) -> Result<Next, http1::Error> {
+    match reply {
+        Reply::NotRun(after) => not_run(conn, after, next).await,
+        Reply::Unknown(status) => send(conn, status, &HeaderMap::new(), Bytes::new(), next).await,
+        Reply::Answer(answer) => match answer.rest {
+            None => send(conn, answer.status, &answer.headers, answer.body, next).await,
+            Some(rest) => {
+                let head = (answer.status, answer.headers);
+                relay(conn, head, answer.body, rest, next).await
+            }
+        },
+    }
+}
+
+async fn not_run(
+    conn: &mut http1::Conn,
+    after: Duration,
+    next: Next,
+) -> Result<Next, http1::Error> {
+    let mut headers = HeaderMap::new();
+    let after = format!("{:.3}", after.as_secs_f64());
+    headers.insert(header::RETRY_AFTER, HeaderValue::from_str(&after).expect("a number"));
+    send(conn, http::StatusCode::SERVICE_UNAVAILABLE, &headers, Bytes::new(), next).await
+}
+
+/// Sends a response whose body is in memory.
+async fn send(
+    conn: &mut http1::Conn,
+    status: http::StatusCode,
+    headers: &HeaderMap,
+    content: Bytes,
+    next: Next,
+) -> Result<Next, http1::Error> {
+    let framing = match content.len() as u64 {
+        0 => body::Framing::Empty,
+        len => body::Framing::Length(len),
+    };
+    let encoded = head::encode_response(status, headers, framing, next == Next::Request);
+    let mut message = BytesMut::with_capacity(encoded.len() + content.len());
+    message.extend_from_slice(&encoded);
+    message.extend_from_slice(&content);
+    conn.write_within(message.freeze(), SEND_TIMEOUT).await?;
+    Ok(next)
+}
+
+/// Sends a long response piece by piece; when it has no end, the connection is reset.
+async fn relay(
+    conn: &mut http1::Conn,
+    (status, headers): (http::StatusCode, HeaderMap),
+    start: Bytes,
+    mut rest: attempt::Rest,
+    next: Next,
+) -> Result<Next, http1::Error> {
+    let framing = match rest.framing {
+        body::Framing::UntilClose => body::Framing::Chunked,
+        framing => framing,
+    };
+    let encoded = head::encode_response(status, &headers, framing, next == Next::Request);
+    conn.write_within(encoded, SEND_TIMEOUT).await?;
+    conn.write_within(body::encode_piece(framing, start), SEND_TIMEOUT).await?;
+    loop {
+        match rest.reader.next(&mut rest.conn).await {
+            Ok(Some(piece)) => {
+                conn.write_within(body::encode_piece(framing, piece), SEND_TIMEOUT).await?;
+            }
+            Ok(None) => break,
+            Err(error) => {
+                tracing::info!(event = "answer_cut_short", %error);
+                return Ok(Next::Abort);
+            }
+        }
+    }
+    conn.write_within(body::encode_end(framing), SEND_TIMEOUT).await?;
+    Ok(next)
+}
--- /dev/null
+++ b/crates/basilhaven/src/gateway/place.rs
@@ -0,0 +1,238 @@
+//! Finds an upstream for a call: asks some for their load, waits where none has room.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+
+use super::{choice, cluster, moves, probe, registry, retries, route, upstream};
+
+/// Upstreams that are asked for their load for one call.
+const PROBES: usize = 6;
+
+/// Load reports younger than this serve another call without a new probe.
+const FRESH: Duration = Duration::from_millis(3);
+
+/// How long the answers to probes are waited for.
+const PROBE_WAIT: Duration = Duration::from_millis(25);
+
+/// How long a call waits until it asks for loads again, when no upstream had room.
+const RETRY_PAUSE: Duration = Duration::from_millis(8);
+
+/// Waiting calls of one service that may look for an upstream at the same time.
+const LOOKING: usize = 2;
+
+/// The window over which repeated sends are counted.
+const RETRY_WINDOW: Duration = Duration::from_secs(10);
+
+/// What a call needs of an upstream.
+#[derive(Debug, Clone)]
+pub struct Need<'a> {
+    /// The service.
+    pub service: &'a Rc<str>,
+    /// The route's rank; 0 is the most urgent.
+    pub rank: u32,
+    /// Ids of upstreams that have been tried.
+    pub tried: &'a [Rc<str>],
+    /// When the call can no longer be served.
+    pub until: Instant,
+}
+
+/// Why no upstream was found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum Refusal {
+    /// None may take calls of this service.
+    #[display("no-upstream")]
+    NoUpstream,
+    /// None had room in time.
+    #[display("no-room")]
+    NoRoom,
+}
+
+/// A place at an upstream, given back when it is dropped.
+#[derive(Debug)]
+pub struct Lease {
+    /// The upstream.
+    pub upstream: Rc<upstream::Upstream>,
+    /// The cost by which it was chosen.
+    pub cost: f64,
+    /// Upstreams that might have taken the call.
+    pub candidates: usize,
+    /// How old the load report was.
+    pub report_age: Duration,
+    desk: Rc<Desk>,
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.upstream.end();
+        self.desk.freed.notify();
+    }
+}
+
+/// Calls of one service that wait, and what was spent on sending calls again.
+#[derive(Debug)]
+pub struct Desk {
+    waiting: RefCell<BTreeSet<(u32, u64)>>,
+    next_ticket: Cell<u64>,
+    freed: super::signal::Signal,
+    /// Sends beyond the first.
+    pub retries: retries::Budget,
+}
+
+impl Default for Desk {
+    fn default() -> Desk {
+        Desk {
+            waiting: RefCell::default(),
+            next_ticket: Cell::default(),
+            freed: super::signal::Signal::default(),
+            retries: retries::Budget::new(RETRY_WINDOW),
+        }
+    }
+}
+
+/// A waiting call's place in the order of ranks.
+struct Ticket<'a> {
+    desk: &'a Desk,
+    place: (u32, u64),
+}
+
+impl Ticket<'_> {
+    fn new(desk: &Desk, rank: u32) -> Ticket<'_> {
+        let number = desk.next_ticket.get();
+        desk.next_ticket.set(number + 1);
+        desk.waiting.borrow_mut().insert((rank, number));
+        Ticket { desk, place: (rank, number) }
+    }
+
+    /// Whether few enough calls come before this one.
+    fn may_look(&self) -> bool {
+        self.desk.waiting.borrow().iter().take(LOOKING).any(|place| *place == self.place)
+    }
+}
+
+impl Drop for Ticket<'_> {
+    fn drop(&mut self) {
+        self.desk.waiting.borrow_mut().remove(&self.place);
+    }
+}
+
+/// Places calls.
+#[derive(Debug)]
+pub struct Placer {
+    data_centre: Rc<str>,
+    registry: Rc<registry::Registry>,
+    members: Rc<cluster::Members>,
+    moves: Rc<moves::Moves>,
+    prober: Rc<probe::Prober>,
+    cold_overage: f64,
+    desks: RefCell<IndexMap<Rc<str>, Rc<Desk>>>,
+}
+
+impl Placer {
+    /// A placer for a host of `data_centre`.
+    pub fn new(
+        data_centre: Rc<str>,
+        registry: Rc<registry::Registry>,
+        members: Rc<cluster::Members>,
+        moves: Rc<moves::Moves>,
+        prober: Rc<probe::Prober>,
+    ) -> Placer {
+        let desks = RefCell::default();
+        Placer { data_centre, registry, members, moves, prober, cold_overage: 1.0, desks }
+    }
+
+    /// The desk of a service.
+    pub fn desk(&self, service: &Rc<str>) -> Rc<Desk> {
+        Rc::clone(self.desks.borrow_mut().entry(Rc::clone(service)).or_default())
+    }
+
+    /// An upstream that takes the call now.
+    ///
+    /// # Errors
+    ///
+    /// There is none, or none has room before the call can no longer be served.
+    pub async fn place(&self, need: &Need<'_>, service: &route::Service) -> Result<Lease, Refusal> {
+        let desk = self.desk(need.service);
+        let ticket = Ticket::new(&desk, need.rank);
+        loop {
+            let freed = desk.freed.count();
+            let mut outcome = Refusal::NoRoom;
+            if ticket.may_look() {
+                match self.look(need, service, &desk).await {
+                    Ok(lease) => return Ok(lease),
+                    Err(refusal) => outcome = refusal,
+                }
+            }
+            let now = Instant::now();
+            if now >= need.until {
+                return Err(outcome);
+            }
+            let pause = RETRY_PAUSE.min(need.until - now);
+            desk.freed.changed_within(freed, pause).await;
+        }
+    }
+
+    /// Asks some upstreams for their load and takes the best that has room.
+    async fn look(
+        &self,
+        need: &Need<'_>,
+        service: &route::Service,
+        desk: &Rc<Desk>,
+    ) -> Result<Lease, Refusal> {
+        let all = self.registry.of_service(need.service);
+        let now = Instant::now();
+        let open: Vec<_> = all.iter().filter(|u| self.registry.is_open(u, now)).collect();
+        let open = self.moves.choose_version(need.service, open);
+        if open.is_empty() {
+            return Err(Refusal::NoUpstream);
+        }
+        let fresh: Vec<_> = open.iter().copied().filter(|u| !need.tried.contains(&u.id)).collect();
+        let open = if fresh.is_empty() { open } else { fresh };
+        let admitted: Vec<_> = open.into_iter().filter(|u| u.warmup.admits(now)).collect();
+        let asked = choice::draw(&admitted, PROBES, now);
+        self.ask(&asked, service).await;
+        let now = Instant::now();
+        let able: Vec<_> = asked
+            .into_iter()
+            .filter(|u| u.warmup.admits(now) && self.registry.is_open(u, now))
+            .collect();
+        let candidates = able.len();
+        let (chosen, cost) = choice::pick(&able, &self.data_centre, now).ok_or(Refusal::NoRoom)?;
+        chosen.start();
+        if chosen.warmup.is_cold(now) {
+            chosen.warmup.count(
+                now,
+                service.cold_rate * self.cold_overage,
+                self.members.expected(now),
+            );
+        }
+        Ok(Lease {
+            upstream: Rc::clone(chosen),
+            cost,
+            candidates,
+            report_age: chosen.report().map_or(Duration::MAX, |r| now - r.at),
+            desk: Rc::clone(desk),
+        })
+    }
+
+    /// Asks upstreams for their load, where what is known is not fresh, and waits for the answers.
+    async fn ask(&self, asked: &[&Rc<upstream::Upstream>], service: &route::Service) {
+        let now = Instant::now();
+        let is_fresh = |u: &upstream::Upstream| u.report().is_some_and(|r| now - r.at <= FRESH);
+        let mut pending: Vec<(&Rc<upstream::Upstream>, u64)> = Vec::with_capacity(asked.len());
+        for &upstream in asked.iter().filter(|u| !is_fresh(u)) {
+            pending.push((upstream, upstream.probed.count()));
+            self.prober.start(upstream, &service.health_path);
+        }
+        let answered = async {
+            for (upstream, seen) in &pending {
+                upstream.probed.changed(*seen).await;
+            }
+        };
+        // What has not answered by then is judged by what is known.
+        let _ = monoio::time::timeout(PROBE_WAIT, answered).await;
+    }
+}
--- /dev/null
+++ b/crates/basilhaven/src/gateway/probe.rs
@@ -0,0 +1,127 @@
+//! Asks upstreams for their load right before a call is placed.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::header::{HeaderMap, HeaderValue};
+
+use super::{protocol, upstream};
+use crate::http1::{self, body, client};
+
+/// The longest that a probe may take; upstreams answer it at once, beside the round trip.
+const TIMEOUT: Duration = Duration::from_millis(50);
+
+/// Bytes of a health response's head.
+const MAX_HEAD_LEN: usize = 4 * 1024;
+
+/// Bytes of a health response's body.
+const MAX_BODY_LEN: usize = 4 * 1024;
+
+/// A probe that fails weighs as much as this many failed calls.
+const FAILURE_WEIGHT: f64 = 1.0;
+
+/// How probes are made.
+#[derive(Debug)]
+pub struct Prober {
+    protocol: protocol::Protocol,
+}
+
+impl Prober {
+    /// A prober for this protocol.
+    pub fn new(protocol: protocol::Protocol) -> Prober {
+        Prober { protocol }
+    }
+
+    /// Starts a probe, unless one is under way.
+    pub fn start(self: &Rc<Self>, upstream: &Rc<upstream::Upstream>, path: &Rc<str>) {
+        if upstream.is_probed.replace(true) {
+            return;
+        }
+        let (prober, upstream, path) = (Rc::clone(self), Rc::clone(upstream), Rc::clone(path));
+        monoio::spawn(async move {
+            prober.probe(&upstream, &path).await;
+            upstream.is_probed.set(false);
+            upstream.probed.notify();
+        });
+    }
+
+    async fn probe(&self, upstream: &upstream::Upstream, path: &str) {
+        let result = monoio::time::timeout(TIMEOUT, self.ask(upstream, path)).await;
+        let now = Instant::now();
+        metrics::counter!("basilhaven_probes_total").increment(1);
+        match result {
+            Ok(Ok(headers)) => self.take(upstream, &headers, now),
+            Ok(Err(error)) => {
+                tracing::debug!(event = "probe_failed", upstream = &*upstream.id, %error);
+                upstream.note_failure(now, FAILURE_WEIGHT);
+            }
+            Err(_) => {
+                tracing::debug!(event = "probe_timed_out", upstream = &*upstream.id);
+                upstream.note_failure(now, FAILURE_WEIGHT);
+            }
+        }
+    }
+
+    /// The head of the answer; the connection is kept when it may carry another probe.
+    async fn ask(
+        &self,
+        upstream: &upstream::Upstream,
+        path: &str,
+    ) -> Result<(http::StatusCode, HeaderMap), http1::Error> {
+        let address = upstream.entry().address;
+        let kept = upstream.probe_conn.borrow_mut().take().filter(http1::Conn::is_idle);
+        let mut conn = match kept {
+            Some(conn) => conn,
+            None => http1::Conn::open(address, TIMEOUT).await?,
+        };
+        conn.write(request(path, address)).await?;
+        let response = conn.read_response(&http::Method::GET, MAX_HEAD_LEN).await?;
+        let mut reader = body::Reader::new(response.framing);
+        client::read_all(&mut conn, &mut reader, MAX_BODY_LEN).await?;
+        let kept = http1::head::keeps_alive(response.parts.version, &response.parts.headers);
+        if kept && response.framing != body::Framing::UntilClose && !conn.has_leftover() {
+            *upstream.probe_conn.borrow_mut() = Some(conn);
+        }
+        Ok((response.parts.status, response.parts.headers))
+    }
+
+    fn take(
+        &self,
+        upstream: &upstream::Upstream,
+        (status, headers): &(http::StatusCode, HeaderMap),
+        now: Instant,
+    ) {
+        let fields = &self.protocol.fields;
+        let id = headers.get(&fields.upstream_id);
+        if id.is_some_and(|id| id.as_bytes() != upstream.id.as_bytes()) {
+            tracing::info!(event = "address_of_another_upstream", upstream = &*upstream.id);
+            upstream.note_health(now, false);
+            return;
+        }
+        let healthy = status.is_success();
+        if healthy != upstream.refused_health().is_none() {
+            tracing::info!(event = "health_changed", upstream = &*upstream.id, healthy);
+        }
+        if healthy || upstream.refused_health().is_none() {
+            upstream.note_health(now, healthy);
+        }
+        let cold = headers.get(&fields.cold_ms).and_then(number);
+        upstream.warmup.note(now, Duration::from_millis(cold.unwrap_or(0)));
+        if let Some(load) = (self.protocol.read_load)(headers) {
+            upstream.take_report(load, now);
+        } else if healthy {
+            let slots = upstream.entry().slots;
+            let load = protocol::Load { running: 0, waiting: 0, slots, slowdown: 1.0 };
+            upstream.take_report(load, now);
+        }
+    }
+}
+
+fn number(value: &HeaderValue) -> Option<u64> {
+    value.to_str().ok()?.trim().parse().ok()
+}
+
+fn request(path: &str, address: std::net::SocketAddr) -> Bytes {
+    Bytes::from(format!("GET {path} HTTP/1.1\r\nhost: {address}\r\n\r\n"))
+}
--- /dev/null
+++ b/crates/basilhaven/src/gateway/registry.rs
@@ -0,0 +1,161 @@
+//! The upstreams that are known, and which of them may take a call.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::{signal, upstream};
+
+/// How long after the store's return an upstream may be missing from the list: live ones are listed
+/// again within two seconds.
+const RELIST_TIME: Duration = Duration::from_millis(2200);
+
+/// How long the store has to be away until entries of live upstreams may lapse: they are renewed at
+/// every heartbeat, and lapse after three.
+const LAPSE_TIME: Duration = Duration::from_secs(1);
+
+/// How long the health check of an upstream may fail until it gets no more calls.
+const UNHEALTHY_TIME: Duration = Duration::from_millis(100);
+
+/// How long a failed health check counts: it is asked again before it may take calls.
+pub(super) const UNHEALTHY_MEMORY: Duration = Duration::from_secs(1);
+
+/// Entries of a list, as it changes.
+#[derive(Debug, Default)]
+pub struct Registry {
+    upstreams: RefCell<IndexMap<Rc<str>, Rc<upstream::Upstream>>>,
+    evacuated: RefCell<IndexSet<Rc<str>>>,
+    /// When the store, after it could not be read, could be read again.
+    store_back: Cell<Option<Instant>>,
+    /// Since when the store can't be read.
+    store_lost: Cell<Option<Instant>>,
+    /// Notified when upstreams come, go or change.
+    pub changed: signal::Signal,
+}
+
+impl Registry {
+    /// Takes in an entry of the list, or that there is none under this id.
+    pub fn apply(&self, id: Rc<str>, entry: Option<upstream::Entry>, now: Instant) {
+        let known = self.upstreams.borrow().get(&id).cloned();
+        match (known, entry) {
+            (Some(known), Some(entry)) => known.update(entry, now),
+            (None, Some(entry)) => {
+                tracing::info!(
+                    event = "upstream_listed",
+                    upstream = &*id,
+                    service = &*entry.service,
+                    version = &*entry.version,
+                    cold_ms = entry.cold_left.as_millis() as u64,
+                );
+                let upstream = Rc::new(upstream::Upstream::new(Rc::clone(&id), entry, now));
+                self.upstreams.borrow_mut().insert(id, upstream);
+            }
+            (Some(known), None) => {
+                tracing::info!(event = "upstream_unlisted", upstream = &*id);
+                known.mark_gone(now);
+            }
+            (None, None) => {}
+        }
+        self.changed.notify();
+    }
+
+    /// Takes in the whole list: what is not in it is gone.
+    pub fn replace(&self, entries: Vec<(Rc<str>, Option<upstream::Entry>)>, now: Instant) {
+        let listed: IndexSet<Rc<str>> =
+            entries.iter().filter(|(_, e)| e.is_some()).map(|(id, _)| Rc::clone(id)).collect();
+        for (id, entry) in entries {
+            self.apply(id, entry, now);
+        }
+        let missing: Vec<Rc<str>> = {
+            let upstreams = self.upstreams.borrow();
+            upstreams.keys().filter(|id| !listed.contains(*id)).cloned().collect()
+        };
+        missing.into_iter().for_each(|id| self.apply(id, None, now));
+    }
+
+    /// Notes whether the list can be read.
+    pub fn note_store(&self, reachable: bool, now: Instant) {
+        match (reachable, self.store_lost.get()) {
+            (true, Some(_)) => {
+                if self.is_store_lost(now) {
+                    self.store_back.set(Some(now));
+                }
+                self.store_lost.set(None);
+            }
+            (false, None) => self.store_lost.set(Some(now)),
+            (true, None) | (false, Some(_)) => {}
+        }
+    }
+
+    /// Notes that a data centre gets nothing more, or may get calls again.
+    pub fn evacuate(&self, data_centre: Rc<str>, ordered: bool) {
+        match ordered {
+            true => self.evacuated.borrow_mut().insert(data_centre),
+            false => self.evacuated.borrow_mut().shift_remove(&data_centre),
+        };
+        self.changed.notify();
+    }
+
+    /// Replaces the data centres that get nothing.
+    pub fn evacuate_only(&self, data_centres: IndexSet<Rc<str>>) {
+        *self.evacuated.borrow_mut() = data_centres;
+        self.changed.notify();
+    }
+
+    /// Drops upstreams whose entries are missing for good, and idle connections.
+    pub fn tidy(&self, now: Instant) {
+        let mut upstreams = self.upstreams.borrow_mut();
+        upstreams.retain(|_, u| u.in_flight() > 0 || !self.is_gone(u, now));
+        upstreams.values().for_each(|u| u.close_idle(now));
+    }
+
+    /// All upstreams of a service, whether they may take calls or not.
+    pub fn of_service(&self, service: &str) -> Vec<Rc<upstream::Upstream>> {
+        let upstreams = self.upstreams.borrow();
+        upstreams.values().filter(|u| &*u.entry().service == service).cloned().collect()
+    }
+
+    /// How many upstreams are known.
+    pub fn len(&self) -> usize {
+        self.upstreams.borrow().len()
+    }
+
+    /// Whether no upstream is known.
+    pub fn is_empty(&self) -> bool {
+        self.upstreams.borrow().is_empty()
+    }
+
+    /// Whether an upstream may get calls.
+    pub fn is_open(&self, upstream: &upstream::Upstream, now: Instant) -> bool {
+        let entry = upstream.entry();
+        let unhealthy = upstream.refused_health().is_some_and(|since| {
+            let passed = now.saturating_duration_since(since);
+            (UNHEALTHY_TIME..UNHEALTHY_MEMORY).contains(&passed)
+        });
+        !entry.leaving
+            && !self.is_gone(upstream, now)
+            && !unhealthy
+            && !self.evacuated.borrow().contains(&entry.data_centre)
+    }
+
+    /// Whether the store has been away for so long that entries of live upstreams may lapse.
+    fn is_store_lost(&self, now: Instant) -> bool {
+        let lost = self.store_lost.get();
+        lost.is_some_and(|since| now.saturating_duration_since(since) >= LAPSE_TIME)
+    }
+
+    /// Whether an entry is missing for good: while the store is away, and shortly after its return,
+    /// entries of live upstreams may be missing.
+    fn is_gone(&self, upstream: &upstream::Upstream, now: Instant) -> bool {
+        let Some(since) = upstream.gone_since() else { return false };
+        if self.is_store_lost(now) {
+            return false;
+        }
+        match self.store_back.get() {
+            Some(back) if since <= back + RELIST_TIME => now >= back + RELIST_TIME,
+            _ => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -0,0 +1,281 @@
+//! One gateway process, from its settings to its end.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream as StdUnixStream;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use monoio::io::AsyncReadRent as _;
+use monoio::net::udp::UdpSocket;
+use monoio::net::{TcpListener, UnixStream};
+
+use super::{
+    cluster, directory, front, news, place, probe, protocol, registry, retries, settings, store,
+};
+use crate::{finding, log};
+
+/// Connections that may wait for being accepted.
+const BACKLOG: i32 = 1024;
+
+/// How long callers may use an answer of the directory.
+const ENTRY_TTL: Duration = Duration::from_secs(3);
+
+/// Pause between two looks for upstreams that are gone for good.
+const TIDY_PAUSE: Duration = Duration::from_secs(1);
+
+/// How often a stopping host looks whether its calls have ended.
+const DRAIN_STEP: Duration = Duration::from_millis(20);
+
+/// The part of the grace after which a stopping host closes idle connections and takes no new ones.
+const SERVE_SHARE: f64 = 0.7;
+
+/// The part of the grace after which a stopping host ends, whatever still runs.
+const END_SHARE: f64 = 0.97;
+
+/// Pauses after a registration with the store that failed.
+const REGISTER_PAUSE: Duration = Duration::from_secs(1);
+
+/// Runs a gateway on this thread until it is told to stop.
+///
+/// # Errors
+///
+/// What keeps it from starting, such as a port in use, each with its place.
+///
+/// # Panics
+///
+/// The operating system refuses an event queue or a signal handler.
+pub fn run<S>(settings: settings::Settings, store: S) -> Result<(), finding::Findings>
+where
+    S: store::Store,
+{
+    let log = log::start(settings.log);
+    // The driver is named: the default one would choose io_uring where the kernel has it.
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("an event queue");
+    runtime.block_on(serve(settings, Rc::new(store), log))
+}
+
+struct Sockets {
+    callers: TcpListener,
+    ready: TcpListener,
+    directory: TcpListener,
+    metrics: TcpListener,
+    peer: UdpSocket,
+}
+
+fn bind(settings: &settings::Settings) -> Result<Sockets, finding::Findings> {
+    let mut findings = finding::Findings::default();
+    let mut listen = |flag: &str, address: SocketAddr| {
+        let options = monoio::net::ListenerOpts::new().reuse_port(false).backlog(BACKLOG);
+        let bound = TcpListener::bind_with_config(address, &options);
+        findings.keep(format!("{flag} {address}"), bound)
+    };
+    let callers = listen("--listen", settings.listen);
+    let ready = listen("--ready", settings.ready);
+    let directory = listen("--directory", settings.directory);
+    let metrics = listen("--metrics", settings.metrics);
+    let peer = findings.keep(format!("--peer {}", settings.peer), UdpSocket::bind(settings.peer));
+    match (callers, ready, directory, metrics, peer) {
+        (Some(callers), Some(ready), Some(directory), Some(metrics), Some(peer)) => {
+            Ok(Sockets { callers, ready, directory, metrics, peer })
+        }
+        _ => Err(findings),
+    }
+}
+
+async fn serve<S>(
+    settings: settings::Settings,
+    store: Rc<S>,
+    log: log::Handle,
+) -> Result<(), finding::Findings>
+where
+    S: store::Store,
+{
+    let sockets = bind(&settings)?;
+    let stop = signal_stream(&[signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT]);
+    let reload = signal_stream(&[signal_hook::consts::SIGHUP]);
+    let record = cluster::Record {
+        peer: settings.peer,
+        callers: settings.listen,
+        data_centre: Rc::clone(&settings.data_centre),
+    };
+    let members = Rc::new(cluster::Members::new(&record, Instant::now()));
+    for seed in &settings.seeds {
+        members.add_contact(SocketAddr::new(seed.ip(), settings.peer.port()));
+    }
+    let desk = Rc::new(news::Desk {
+        book: Rc::default(),
+        registry: Rc::default(),
+        moves: Rc::default(),
+        members: Rc::clone(&members),
+    });
+    let front = front(&settings, store.protocol(), &desk);
+    let peer = Rc::new(sockets.peer);
+    monoio::spawn(cluster::receive(Rc::clone(&members), Rc::clone(&peer)));
+    monoio::spawn(cluster::spread(Rc::clone(&members), Rc::clone(&peer)));
+    monoio::spawn(news::follow(Rc::clone(&store), store::Source::Orders, Rc::clone(&desk)));
+    monoio::spawn(news::follow(Rc::clone(&store), store::Source::Upstreams, Rc::clone(&desk)));
+    monoio::spawn(register(Rc::clone(&store), record, Rc::clone(&desk)));
+    monoio::spawn(tidy(Rc::clone(&desk.registry)));
+    monoio::spawn(become_ready(Rc::clone(&desk), Rc::clone(&peer)));
+    monoio::spawn(note_reloads(reload));
+    pages(&settings, &front, sockets.ready, sockets.directory, sockets.metrics, log);
+    monoio::spawn(front::accept(Rc::clone(&front), sockets.callers));
+    tracing::info!(event = "started", host = &*settings.name, callers = %settings.listen);
+    shut_down(&settings, &front, &peer, stop).await;
+    tracing::info!(event = "stopped", host = &*settings.name, connections = front.open.get());
+    Ok(())
+}
+
+fn front(
+    settings: &settings::Settings,
+    protocol: protocol::Protocol,
+    desk: &news::Desk,
+) -> Rc<front::Front> {
+    let placer = place::Placer::new(
+        Rc::clone(&settings.data_centre),
+        Rc::clone(&desk.registry),
+        Rc::clone(&desk.members),
+        Rc::clone(&desk.moves),
+        Rc::new(probe::Prober::new(protocol.clone())),
+    );
+    Rc::new(front::Front {
+        book: Rc::clone(&desk.book),
+        placer,
+        members: Rc::clone(&desk.members),
+        protocol,
+        retries: retries::Allowance { ratio: settings.retry_ratio, slack: settings.retry_slack },
+        open: Cell::default(),
+        busy: Cell::default(),
+        closing: super::signal::Signal::default(),
+    })
+}
+
+/// Serves readiness, the directory and metrics.
+fn pages(
+    settings: &settings::Settings,
+    front: &Rc<front::Front>,
+    ready: TcpListener,
+    directory: TcpListener,
+    metrics: TcpListener,
+    log: log::Handle,
+) {
+    let ttl = settings.entry_ttl.min(ENTRY_TTL);
+    let for_ready = Rc::clone(front);
+    let answer_ready = move |parts: &http::request::Parts| {
+        let is_ready = for_ready.members.state() == cluster::State::Ready;
+        directory::Answer::empty(match parts.uri.path() == for_ready.protocol.ready_path {
+            true if is_ready => http::StatusCode::OK,
+            true => http::StatusCode::SERVICE_UNAVAILABLE,
+            false => http::StatusCode::NOT_FOUND,
+        })
+    };
+    monoio::spawn(directory::serve(ready, Rc::new(answer_ready)));
+    let for_directory = Rc::clone(front);
+    let answer_question = move |parts: &http::request::Parts| {
+        let Some(question) = (for_directory.protocol.read_question)(&parts.uri) else {
+            return directory::Answer::empty(http::StatusCode::NOT_FOUND);
+        };
+        match directory::resolve(&for_directory.members, &question, Instant::now()) {
+            Some(named) => directory::Answer {
+                status: http::StatusCode::OK,
+                content_type: "application/json",
+                body: (for_directory.protocol.write_answer)(&named, ttl),
+            },
+            None => directory::Answer::empty(http::StatusCode::SERVICE_UNAVAILABLE),
+        }
+    };
+    monoio::spawn(directory::serve(directory, Rc::new(answer_question)));
+    let answer_metrics = move |_: &http::request::Parts| directory::Answer {
+        status: http::StatusCode::OK,
+        content_type: "text/plain",
+        body: Bytes::from(format!(
+            "{}basilhaven_log_lines_dropped_total {}\n",
+            log.render_metrics(),
+            log.dropped_lines()
+        )),
+    };
+    monoio::spawn(directory::serve(metrics, Rc::new(answer_metrics)));
+}
+
+/// Tells the store of this host, and learns of the others from it.
+async fn register<S>(store: Rc<S>, record: cluster::Record, desk: Rc<news::Desk>)
+where
+    S: store::Store,
+{
+    while let Err(error) = store.register(&record).await {
+        tracing::warn!(event = "registration_failed", %error);
+        monoio::time::sleep(REGISTER_PAUSE).await;
+    }
+    news::read_once(&*store, store::Source::Hosts, &desk).await;
+}
+
+async fn tidy(registry: Rc<registry::Registry>) {
+    loop {
+        monoio::time::sleep(TIDY_PAUSE).await;
+        registry.tidy(Instant::now());
+    }
+}
+
+/// Has callers sent to this host once it can serve.
+async fn become_ready(desk: Rc<news::Desk>, peer: Rc<UdpSocket>) {
+    loop {
+        let seen = desk.book.changed.count();
+        if desk.book.is_complete() {
+            break;
+        }
+        desk.book.changed.changed(seen).await;
+    }
+    if desk.members.state() == cluster::State::Starting {
+        desk.members.set_state(cluster::State::Ready);
+        cluster::send_beat(&desk.members, &peer).await;
+        tracing::info!(event = "ready", upstreams = desk.registry.len());
+    }
+}
+
+/// A stream that gets a byte at each of the signals.
+fn signal_stream(signals: &[i32]) -> UnixStream {
+    let (reader, writer) = StdUnixStream::pair().expect("a socket pair");
+    for &signal in signals {
+        let writer = writer.try_clone().expect("a descriptor");
+        signal_hook::low_level::pipe::register(signal, writer).expect("a signal handler");
+    }
+    reader.set_nonblocking(true).expect("a socket option");
+    UnixStream::from_std(reader).expect("a registered descriptor")
+}
+
+/// Settings are read at the start only: those that may change come with the configuration.
+async fn note_reloads(mut reload: UnixStream) -> io::Result<()> {
+    loop {
+        let (result, _) = reload.read(vec![0; 1]).await;
+        result?;
+        tracing::info!(event = "reload", detail = "settings take effect at the next start");
+    }
+}
+
+/// Waits for the signal to stop; then leaves the directory, goes on serving while callers may still
+/// come, and ends once all calls have.
+async fn shut_down(
+    settings: &settings::Settings,
+    front: &front::Front,
+    peer: &UdpSocket,
+    mut stop: UnixStream,
+) {
+    // An error has the same meaning: there is no more waiting for the signal.
+    let _ = stop.read(vec![0; 1]).await;
+    let told = Instant::now();
+    front.members.set_state(cluster::State::Leaving);
+    tracing::info!(event = "leaving", host = &*settings.name, connections = front.open.get());
+    cluster::send_beat(&front.members, peer).await;
+    monoio::time::sleep(settings.grace.mul_f64(SERVE_SHARE)).await;
+    front.closing.notify();
+    let end = told + settings.grace.mul_f64(END_SHARE);
+    while (front.busy.get() > 0 || front.open.get() > 0) && Instant::now() < end {
+        monoio::time::sleep(DRAIN_STEP).await;
+    }
+}
--- /dev/null
+++ b/crates/basilhaven/src/gateway/settings.rs
@@ -0,0 +1,184 @@
+//! Settings of the gateway, from flags and environment variables.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+
+use crate::finding;
+
+/// Settings as they were given, not yet checked.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(
+    options("gateway"),
+    generate(raw),
+    descr("Entry host of basilhaven that takes its orders from the users' store.")
+)]
+pub struct Raw {
+    /// This host's name
+    #[bpaf(long, env("BASILHAVEN_NAME"), argument("NAME"))]
+    pub name: String,
+    /// The data centre that this host stands in
+    #[bpaf(long, env("BASILHAVEN_DATA_CENTRE"), argument("NAME"))]
+    pub data_centre: String,
+    /// Where callers connect
+    #[bpaf(long, env("BASILHAVEN_LISTEN"), argument("ADDR"))]
+    pub listen: String,
+    /// Where it is asked whether this host is ready
+    #[bpaf(long, env("BASILHAVEN_READY"), argument("ADDR"))]
+    pub ready: String,
+    /// Where callers ask which hosts to use
+    #[bpaf(long, env("BASILHAVEN_DIRECTORY"), argument("ADDR"))]
+    pub directory: String,
+    /// Where other hosts connect, by UDP
+    #[bpaf(long, env("BASILHAVEN_PEER"), argument("ADDR"))]
+    pub peer: String,
+    /// Where metrics are served
+    #[bpaf(long, env("BASILHAVEN_METRICS"), argument("ADDR"))]
+    pub metrics: String,
+    /// The store's address
+    #[bpaf(long, env("BASILHAVEN_STORE"), argument("ADDR"))]
+    pub store: String,
+    /// Addresses of hosts that may be up, separated by commas; their ports are not used
+    #[bpaf(long, env("BASILHAVEN_SEEDS"), argument("ADDRS"), fallback(String::new()))]
+    pub seeds: String,
+    /// How long callers may use an answer of the directory, at most, in seconds
+    #[bpaf(long, env("BASILHAVEN_ENTRY_TTL_S"), argument("S"), fallback("5".to_owned()))]
+    pub entry_ttl_s: String,
+    /// Time from SIGTERM until the process is killed, in seconds
+    #[bpaf(long, env("BASILHAVEN_GRACE_S"), argument("S"), fallback("6".to_owned()))]
+    pub grace_s: String,
+    /// Repeated sends for each call, over all hosts
+    #[bpaf(long, env("BASILHAVEN_RETRY_RATIO"), argument("N"), fallback("0.2".to_owned()))]
+    pub retry_ratio: String,
+    /// Repeated sends besides, within the window, over all hosts
+    #[bpaf(long, env("BASILHAVEN_RETRY_SLACK"), argument("N"), fallback("50".to_owned()))]
+    pub retry_slack: String,
+    /// Part of a service's calls that a version may get before it is proved good
+    #[bpaf(long, env("BASILHAVEN_EXPOSURE_SHARE"), argument("N"), fallback("0.1".to_owned()))]
+    pub exposure_share: String,
+    /// Calls that it may get besides
+    #[bpaf(long, env("BASILHAVEN_EXPOSURE_SLACK"), argument("N"), fallback("50".to_owned()))]
+    pub exposure_slack: String,
+    /// What is logged: error, warn, info or debug; every send is at info
+    #[bpaf(long, env("BASILHAVEN_LOG"), argument("LEVEL"), fallback("info".to_owned()))]
+    pub log: String,
+}
+
+/// Settings of the gateway, checked.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// This host's name.
+    pub name: Rc<str>,
+    /// The data centre that this host stands in.
+    pub data_centre: Rc<str>,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where it is asked whether this host is ready.
+    pub ready: SocketAddr,
+    /// Where callers ask which hosts to use.
+    pub directory: SocketAddr,
+    /// Where other hosts connect.
+    pub peer: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// The store's address.
+    pub store: SocketAddr,
+    /// Addresses of hosts that may be up.
+    pub seeds: Vec<SocketAddr>,
+    /// How long callers may use an answer of the directory, at most.
+    pub entry_ttl: Duration,
+    /// Time from SIGTERM until the process is killed.
+    pub grace: Duration,
+    /// Repeated sends for each call, over all hosts.
+    pub retry_ratio: f64,
+    /// Repeated sends besides, over all hosts.
+    pub retry_slack: f64,
+    /// Part of a service's calls that a version may get before it is proved good.
+    pub exposure_share: f64,
+    /// Calls that it may get besides.
+    pub exposure_slack: f64,
+    /// What is logged.
+    pub log: crate::settings::Level,
+}
+
+impl TryFrom<Raw> for Settings {
+    type Error = finding::Findings;
+
+    /// Checks all settings.
+    ///
+    /// # Errors
+    ///
+    /// Everything that is wrong, each with its flag.
+    fn try_from(raw: Raw) -> Result<Settings, finding::Findings> {
+        let mut findings = finding::Findings::default();
+        let mut address = |flag: &str, text: &str| findings.keep(flag, text.parse::<SocketAddr>());
+        let listen = address("--listen", &raw.listen);
+        let ready = address("--ready", &raw.ready);
+        let directory = address("--directory", &raw.directory);
+        let peer = address("--peer", &raw.peer);
+        let metrics = address("--metrics", &raw.metrics);
+        let store = address("--store", &raw.store);
+        let seeds = raw.seeds.split(',').map(str::trim).filter(|seed| !seed.is_empty());
+        let seeds: Vec<_> = seeds.filter_map(|seed| address("--seeds", seed)).collect();
+        let mut number = |flag: &str, text: &str| {
+            let read = findings.keep(flag, text.parse::<f64>())?;
+            let right = read.is_finite() && read >= 0.0;
+            if !right {
+                findings.add(flag, "must be a number of 0 or more");
+            }
+            right.then_some(read)
+        };
+        let entry_ttl = number("--entry-ttl-s", &raw.entry_ttl_s);
+        let grace = number("--grace-s", &raw.grace_s);
+        let retry_ratio = number("--retry-ratio", &raw.retry_ratio);
+        let retry_slack = number("--retry-slack", &raw.retry_slack);
+        let exposure_share = number("--exposure-share", &raw.exposure_share);
+        let exposure_slack = number("--exposure-slack", &raw.exposure_slack);
+        let log = findings.keep("--log", crate::settings::Level::try_from(&*raw.log));
+        let settings = (|| {
+            Some(Settings {
+                name: raw.name.as_str().into(),
+                data_centre: raw.data_centre.as_str().into(),
+                listen: listen?,
+                ready: ready?,
+                directory: directory?,
+                peer: peer?,
+                metrics: metrics?,
+                store: store?,
+                seeds,
+                entry_ttl: Duration::try_from_secs_f64(entry_ttl?).ok()?,
+                grace: Duration::try_from_secs_f64(grace?).ok()?,
+                retry_ratio: retry_ratio?,
+                retry_slack: retry_slack?,
+                exposure_share: exposure_share?,
+                exposure_slack: exposure_slack?,
+                log: log?,
+            })
+        })();
+        match settings {
+            Some(settings) => findings.into_result(settings),
+            None => Err(findings),
+        }
+    }
+}
+
+/// Reads the settings out of arguments and the environment, and ends the process when they are wrong
+/// or only help was asked for.
+///
+/// Wrong settings are printed to standard error, all of them, each with its flag; the exit code is 2.
+pub fn from_arguments(arguments: &[std::ffi::OsString]) -> Settings {
+    let raw = match raw().run_inner(arguments) {
+        Ok(raw) => raw,
+        Err(failure) => {
+            let is_help = matches!(failure, bpaf::ParseFailure::Stdout(..));
+            failure.print_message(100);
+            std::process::exit(if is_help { 0 } else { 2 });
+        }
+    };
+    Settings::try_from(raw).unwrap_or_else(|findings| {
+        eprintln!("{findings}");
+        std::process::exit(2);
+    })
+}
--- /dev/null
+++ b/crates/basilhaven/src/gateway/upstream.rs
@@ -0,0 +1,244 @@
+//! One upstream: what it says of itself, what was seen of it, and its open connections.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use super::{cold, protocol, signal};
+use crate::http1;
+
+/// How long a connection is kept idle when the upstream does not say.
+const DEFAULT_KEEP: Duration = Duration::from_secs(4);
+
+/// How much earlier than the upstream this host closes an idle connection.
+const KEEP_MARGIN: Duration = Duration::from_secs(1);
+
+/// Idle connections kept to one upstream for calls.
+const MAX_IDLE: usize = 4;
+
+/// The time in which what was seen of failures halves.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
+
+/// The most failures that are remembered, so that the way back stays short.
+const MAX_FAILURES: f64 = 8.0;
+
+/// What a good answer takes off the failures.
+const SUCCESS_CREDIT: f64 = 0.5;
+
+/// What an upstream says of itself in the store.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Entry {
+    /// The service that it runs.
+    pub service: Rc<str>,
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    /// The data centre that it stands in.
+    pub data_centre: Rc<str>,
+    /// The version of its software.
+    pub version: Rc<str>,
+    /// Calls that it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// How much longer it is cold.
+    pub cold_left: Duration,
+    /// The Unix millisecond of its start; two starts under one id differ in it.
+    pub started_ms: u64,
+}
+
+/// A load report, and when it came.
+#[derive(Debug, Clone, Copy)]
+pub struct Report {
+    /// The load.
+    pub load: protocol::Load,
+    /// When it came.
+    pub at: Instant,
+}
+
+/// An idle connection.
+#[derive(Debug)]
+struct Idle {
+    conn: http1::Conn,
+    since: Instant,
+    keep: Duration,
+}
+
+/// One upstream.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Its id.
+    pub id: Rc<str>,
+    entry: RefCell<Entry>,
+    in_flight: Cell<u32>,
+    report: Cell<Option<Report>>,
+    sent_since_report: Cell<u32>,
+    pub(super) warmup: cold::Warmup,
+    idle: RefCell<Vec<Idle>>,
+    pub(super) probe_conn: RefCell<Option<http1::Conn>>,
+    pub(super) is_probed: Cell<bool>,
+    /// Notified when a probe has ended.
+    pub probed: signal::Signal,
+    refused_health: Cell<Option<Instant>>,
+    failures: Cell<(f64, Instant)>,
+    gone_since: Cell<Option<Instant>>,
+}
+
+impl Upstream {
+    /// An upstream that has just become known.
+    pub fn new(id: Rc<str>, entry: Entry, now: Instant) -> Upstream {
+        let upstream = Upstream {
+            id,
+            in_flight: Cell::default(),
+            report: Cell::default(),
+            sent_since_report: Cell::default(),
+            warmup: cold::Warmup::default(),
+            idle: RefCell::default(),
+            probe_conn: RefCell::default(),
+            is_probed: Cell::default(),
+            probed: signal::Signal::default(),
+            refused_health: Cell::default(),
+            failures: Cell::new((0.0, now)),
+            gone_since: Cell::default(),
+            entry: RefCell::new(entry),
+        };
+        let left = upstream.entry().cold_left;
+        upstream.warmup.note(now, left);
+        upstream
+    }
+
+    /// What it says of itself.
+    pub fn entry(&self) -> std::cell::Ref<'_, Entry> {
+        self.entry.borrow()
+    }
+
+    /// Takes in what it newly says of itself.
+    pub fn update(&self, entry: Entry, now: Instant) {
+        let moved = {
+            let known = self.entry.borrow();
+            known.address != entry.address || known.started_ms != entry.started_ms
+        };
+        if moved {
+            self.idle.borrow_mut().clear();
+            self.probe_conn.borrow_mut().take();
+            self.report.set(None);
+            self.failures.set((0.0, now));
+            self.refused_health.set(None);
+        }
+        if moved || !entry.cold_left.is_zero() {
+            self.warmup.note(now, entry.cold_left);
+        }
+        *self.entry.borrow_mut() = entry;
+        self.gone_since.set(None);
+    }
+
+    /// Since when its entry is missing from the list.
+    pub fn gone_since(&self) -> Option<Instant> {
+        self.gone_since.get()
+    }
+
+    /// Notes that its entry is missing from the list.
+    pub fn mark_gone(&self, now: Instant) {
+        if self.gone_since.get().is_none() {
+            self.gone_since.set(Some(now));
+        }
+    }
+
+    /// Calls of this host that it works on.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.get()
+    }
+
+    /// The newest load report.
+    pub fn report(&self) -> Option<Report> {
+        self.report.get()
+    }
+
+    /// Takes in a load report.
+    pub fn take_report(&self, load: protocol::Load, now: Instant) {
+        self.report.set(Some(Report { load, at: now }));
+        self.sent_since_report.set(0);
+    }
+
+    /// Calls that it works on, as far as this host can know.
+    pub fn occupancy(&self) -> u32 {
+        let reported = self.report.get().map_or(0, |r| r.load.running + r.load.waiting);
+        self.in_flight.get().max(reported + self.sent_since_report.get())
+    }
+
+    /// Calls that it runs at once.
+    pub fn slots(&self) -> u32 {
+        let reported = self.report.get().map(|r| r.load.slots).filter(|&slots| slots > 0);
+        reported.unwrap_or(self.entry().slots).max(1)
+    }
+
+    /// Counts a call that is sent to it.
+    pub fn start(&self) {
+        self.in_flight.set(self.in_flight.get() + 1);
+        self.sent_since_report.set(self.sent_since_report.get() + 1);
+    }
+
+    /// Counts a call as ended.
+    pub fn end(&self) {
+        self.in_flight.set(self.in_flight.get().saturating_sub(1));
+    }
+
+    /// Notes an answer that was good.
+    pub fn note_success(&self, now: Instant) {
+        self.failures.set(((self.failures(now) - SUCCESS_CREDIT).max(0.0), now));
+    }
+
+    /// Notes a failure that weighs as much as `weight` failed calls.
+    pub fn note_failure(&self, now: Instant, weight: f64) {
+        self.failures.set(((self.failures(now) + weight).min(MAX_FAILURES), now));
+    }
+
+    /// Failures of late; older ones count less.
+    pub fn failures(&self, now: Instant) -> f64 {
+        let (failures, at) = self.failures.get();
+        let passed = now.saturating_duration_since(at).as_secs_f64();
+        failures * (-passed / FAILURE_HALF_LIFE.as_secs_f64()).exp2()
+    }
+
+    /// Notes whether its health check passes.
+    pub fn note_health(&self, now: Instant, healthy: bool) {
+        self.refused_health.set((!healthy).then_some(now));
+    }
+
+    /// Since when its health check fails.
+    pub fn refused_health(&self) -> Option<Instant> {
+        self.refused_health.get()
+    }
+
+    /// Takes the idle connection that was used last, if that was within `max_idle`.
+    pub fn take_conn(&self, now: Instant, max_idle: Duration) -> Option<http1::Conn> {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|one| now.saturating_duration_since(one.since) < one.keep);
+        while let Some(last) = idle.pop() {
+            if now.saturating_duration_since(last.since) > max_idle {
+                // All others have been idle for longer; they still serve calls that may be repeated.
+                idle.push(last);
+                return None;
+            }
+            if last.conn.is_idle() {
+                return Some(last.conn);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection on which nothing is due.
+    pub fn keep_conn(&self, conn: http1::Conn, now: Instant, keep: Option<Duration>) {
+        let keep = keep.map_or(DEFAULT_KEEP, |keep| keep.saturating_sub(KEEP_MARGIN));
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() >= MAX_IDLE {
+            idle.remove(0);
+        }
+        idle.push(Idle { conn, since: now, keep });
+    }
+
+    /// Closes connections that have been idle for long.
+    pub fn close_idle(&self, now: Instant) {
+        self.idle.borrow_mut().retain(|one| now.saturating_duration_since(one.since) < one.keep);
+    }
+}
--- a/crates/basilhaven/src/http1/conn.rs
+++ b/crates/basilhaven/src/http1/conn.rs
@@ -46,6 +46,21 @@
         }
     }
 
+    /// Has the operating system probe a silent connection every `seconds`, and end it after `probes`
+    /// without an answer: a connection may go silent for good without a reset.
+    ///
+    /// # Errors
+    ///
+    /// The operating system does not take the options.
+    pub fn probe_silence(&self, seconds: u32, probes: u32) -> io::Result<()> {
+        let fd = self.stream.as_raw_fd();
+        socket::setsockopt(fd, socket::sockopt::KeepAlive, &true)?;
+        socket::setsockopt(fd, socket::sockopt::TcpKeepIdle, &seconds)?;
+        socket::setsockopt(fd, socket::sockopt::TcpKeepInterval, &seconds)?;
+        socket::setsockopt(fd, socket::sockopt::TcpKeepCount, &probes)?;
+        Ok(())
+    }
+
     /// The other side's address.
     ///
     /// # Errors
--- a/crates/basilhaven/src/lib.rs
+++ b/crates/basilhaven/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod entry;
 pub mod failure;
 pub mod finding;
+pub mod gateway;
 pub mod gossip;
 pub mod hedge;
 pub mod homes;
--- a/crates/basilhavend/src/main.rs
+++ b/crates/basilhavend/src/main.rs
@@ -1,10 +1,22 @@
 //! The daemon that runs on every entry host.
+//!
+//! `basilhavend gateway` takes its orders from the store of its users' platform; without that word it
+//! takes them from operators.
 
 use std::process::ExitCode;
 
+use basilhaven::{finding, gateway};
+
+/// The first argument of a host that takes its orders from the users' store.
+const GATEWAY: &str = "gateway";
+
 fn main() -> ExitCode {
-    let settings = basilhaven::settings::from_process();
-    match basilhaven::daemon::run(settings) {
+    let arguments: Vec<std::ffi::OsString> = std::env::args_os().skip(1).collect();
+    let result = match arguments.split_first() {
+        Some((first, rest)) if first == GATEWAY => run_gateway(rest),
+        _ => basilhaven::daemon::run(basilhaven::settings::from_process()),
+    };
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(findings) => {
             eprintln!("{findings}");
@@ -12,3 +24,9 @@
         }
     }
 }
+
+fn run_gateway(arguments: &[std::ffi::OsString]) -> Result<(), finding::Findings> {
+    let settings = gateway::settings::from_arguments(arguments);
+    let store = basilhaven_platform::Client::new(settings.store);
+    gateway::run::run(settings, store)
+}
