--- a/crates/basilhaven/src/gateway/cluster.rs
+++ b/crates/basilhaven/src/gateway/cluster.rs
@@ -12,6 +12,8 @@
 use monoio::net::udp::UdpSocket;
 use serde::{Deserialize, Serialize};
 
+use super::{moves, news};
+
 /// The time between two beats.
 const BEAT: Duration = Duration::from_millis(250);
 
@@ -83,8 +85,10 @@
 /// A message between hosts.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
-    /// What the sender has heard of hosts, itself first.
-    Pulses(Vec<Pulse>),
+    /// What the sender has heard of hosts, itself first, and of steps of moves.
+    Pulses(Vec<Pulse>, Vec<moves::Step>),
+    /// What the sender has seen of the versions of a move.
+    Evidence(moves::Evidence),
 }
 
 /// A host that was heard of.
@@ -204,8 +208,21 @@
         }
     }
 
-    /// The datagram of the next beat, and to whom it goes.
-    fn beat(&self, now: Instant) -> (Frame, Vec<SocketAddr>) {
+    /// The host that steers what only one host may; `None` when that is this one.
+    pub fn leader(&self, now: Instant) -> Option<SocketAddr> {
+        let own = self.own.get().peer();
+        let live = self.live(now);
+        let ready = live.iter().filter(|p| p.state == State::Ready).map(Pulse::peer);
+        ready.min().filter(|leader| *leader != own)
+    }
+
+    /// All other live hosts.
+    fn others(&self, now: Instant) -> Vec<SocketAddr> {
+        self.live(now)[1..].iter().map(Pulse::peer).collect()
+    }
+
+    /// The pulses of the next beat, and to whom they go.
+    fn beat(&self, now: Instant) -> (Vec<Pulse>, Vec<SocketAddr>) {
         let own = self.own.get();
         self.own.set(Pulse { beat: own.beat + 1, ..own });
         let mut pulses = self.live(now);
@@ -226,7 +243,7 @@
             fastrand::shuffle(&mut pulses[1..]);
             pulses.truncate(MAX_PULSES);
         }
-        (Frame::Pulses(pulses), targets)
+        (pulses, targets)
     }
 
     /// Removes hosts that have been silent for so long that nothing depends on them.
@@ -237,24 +254,46 @@
 }
 
 /// Sends this host's view at each beat.
-pub async fn spread(members: Rc<Members>, socket: Rc<UdpSocket>) {
+pub async fn spread(desk: Rc<news::Desk>, socket: Rc<UdpSocket>) {
     loop {
-        send_beat(&members, &socket).await;
-        members.forget(Instant::now());
+        send_beat(&desk, &socket).await;
+        desk.members.forget(Instant::now());
         monoio::time::sleep(BEAT).await;
     }
 }
 
-/// Sends this host's view now.
-pub async fn send_beat(members: &Members, socket: &UdpSocket) {
-    let (frame, targets) = members.beat(Instant::now());
-    let Ok(bytes) = postcard::to_stdvec(&frame) else { return };
+/// Sends this host's view to some hosts now.
+pub async fn send_beat(desk: &news::Desk, socket: &UdpSocket) {
+    let (pulses, targets) = desk.members.beat(Instant::now());
+    let frame = Frame::Pulses(pulses, desk.moves.steps());
     for target in targets {
-        send(socket, bytes.clone(), target).await;
+        send_frame(socket, &frame, target).await;
     }
 }
 
-async fn send(socket: &UdpSocket, bytes: Vec<u8>, target: SocketAddr) {
+/// Sends this host's view to all live hosts now.
+pub async fn send_to_all(desk: &news::Desk, socket: &UdpSocket) {
+    let now = Instant::now();
+    let (pulses, _) = desk.members.beat(now);
+    let frame = Frame::Pulses(pulses, desk.moves.steps());
+    for target in desk.members.others(now) {
+        send_frame(socket, &frame, target).await;
+    }
+}
+
+/// Sends a frame to a host.
+pub async fn send_frame(socket: &UdpSocket, frame: &Frame, target: SocketAddr) {
+    let bytes = match postcard::to_stdvec(frame) {
+        Ok(bytes) if bytes.len() <= MAX_DATAGRAM_LEN => bytes,
+        Ok(bytes) => {
+            tracing::warn!(event = "frame_too_long", len = bytes.len());
+            return;
+        }
+        Err(error) => {
+            tracing::warn!(event = "frame_not_encoded", %error);
+            return;
+        }
+    };
     let (result, _) = socket.send_to(bytes, target).await;
     if let Err(error) = result {
         tracing::debug!(event = "datagram_not_sent", %target, %error);
@@ -262,7 +301,7 @@
 }
 
 /// Takes in what other hosts send.
-pub async fn receive(members: Rc<Members>, socket: Rc<UdpSocket>) {
+pub async fn receive(desk: Rc<news::Desk>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_LEN];
     loop {
         let (result, filled) = socket.recv_from(buffer).await;
@@ -276,22 +315,26 @@
             }
         };
         match postcard::from_bytes::<Frame>(&buffer[..len]) {
-            Ok(Frame::Pulses(pulses)) => {
-                if members.hear(from, &pulses, Instant::now()) {
-                    tracing::info!(event = "host_met", %from, live = members.live(Instant::now()).len());
-                    reply(&members, &socket, from).await;
+            Ok(Frame::Pulses(pulses, steps)) => {
+                let now = Instant::now();
+                for step in steps {
+                    desk.moves.apply_step(step, now);
+                }
+                if desk.members.hear(from, &pulses, now) {
+                    let live = desk.members.live(now).len();
+                    tracing::info!(event = "host_met", %from, live);
+                    reply(&desk, &socket, from).await;
                 }
             }
+            Ok(Frame::Evidence(evidence)) => desk.moves.hear(from, evidence),
             Err(error) => tracing::debug!(event = "datagram_unreadable", %from, %error),
         }
     }
 }
 
 /// Tells a host that brought news what this one knows, so that it need not wait for a beat.
-async fn reply(members: &Members, socket: &UdpSocket, target: SocketAddr) {
-    let mut pulses = members.live(Instant::now());
+async fn reply(desk: &news::Desk, socket: &UdpSocket, target: SocketAddr) {
+    let mut pulses = desk.members.live(Instant::now());
     pulses.truncate(MAX_PULSES);
-    if let Ok(bytes) = postcard::to_stdvec(&Frame::Pulses(pulses)) {
-        send(socket, bytes, target).await;
-    }
+    send_frame(socket, &Frame::Pulses(pulses, desk.moves.steps()), target).await;
 }
--- a/crates/basilhaven/src/gateway/front.rs
+++ b/crates/basilhaven/src/gateway/front.rs
@@ -9,7 +9,7 @@
 use http::header::{self, HeaderMap, HeaderValue};
 use monoio::net::{TcpListener, TcpStream};
 
-use super::{attempt, cluster, news, place, protocol, retries, route, signal};
+use super::{attempt, cluster, moves, news, place, protocol, retries, route, signal};
 use crate::http1::{self, body, head};
 use crate::profile;
 
@@ -50,7 +50,7 @@
     pub members: Rc<cluster::Members>,
     /// The protocol.
     pub protocol: protocol::Protocol,
-    /// What this host may spend on sending calls again.
+    /// What all hosts together may spend on sending calls again.
     pub retries: retries::Allowance,
     /// Connections that are open.
     pub open: Cell<usize>,
@@ -60,6 +60,13 @@
     pub closing: signal::Signal,
 }
 
+impl Front {
+    /// What this host may spend on sending calls again.
+    fn allowance(&self) -> retries::Allowance {
+        self.retries.of_one(self.members.expected(Instant::now()))
+    }
+}
+
 /// Whether a connection may carry another request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Next {
@@ -302,7 +309,7 @@
     let mut may_have_run = false;
     let mut sends = 0;
     while sends < route.max_attempts.max(1) {
-        if sends > 0 && !desk.retries.try_spend(Instant::now(), front.retries) {
+        if sends > 0 && !desk.retries.try_spend(Instant::now(), front.allowance()) {
             break;
         }
         let until = call.until.checked_sub(least).unwrap_or(call.until);
@@ -321,6 +328,7 @@
         let sent = Instant::now();
         let end = attempt::send(call, &lease.upstream, &front.protocol).await;
         log_send(call, route, table, &lease, &end, sent.elapsed());
+        note_version(front, name, route, &lease, &end, sent.elapsed());
         tried.push(Rc::clone(&lease.upstream.id));
         let now = Instant::now();
         match end {
@@ -361,6 +369,30 @@
     }
 }
 
+/// Keeps how a call ended as evidence on the version that ran it; cold upstreams are slow whatever
+/// version they run.
+fn note_version(
+    front: &Front,
+    service: &Rc<str>,
+    route: &route::Route,
+    lease: &place::Lease,
+    end: &attempt::End,
+    took: Duration,
+) {
+    let failed = match end {
+        attempt::End::Answered(answer) => answer.status.is_server_error(),
+        attempt::End::NotRun(_) => return,
+        attempt::End::Unknown(_) => true,
+    };
+    if !failed && lease.upstream.warmup.is_cold(Instant::now()) {
+        return;
+    }
+    let seconds = took.as_secs_f32();
+    let count = moves::Count { answers: 1, failed: u32::from(failed), seconds };
+    let version = Rc::clone(&lease.upstream.entry().version);
+    front.placer.moves.note(service, &route.name, &version, count);
+}
+
 fn log_refusal(
     call: &attempt::Call,
     route: &route::Route,
--- a/crates/basilhaven/src/gateway/mod.rs
+++ b/crates/basilhaven/src/gateway/mod.rs
@@ -21,5 +21,6 @@
 pub mod run;
 pub mod settings;
 pub mod signal;
+pub mod steer;
 pub mod store;
 pub mod upstream;
--- a/crates/basilhaven/src/gateway/moves.rs
+++ b/crates/basilhaven/src/gateway/moves.rs
@@ -1,10 +1,17 @@
-//! Moves of a service's calls to another version.
+//! Moves of a service's calls to another version: how far each has come, and the evidence for it.
+//!
+//! One host steers a move: it writes each step to the store under the condition that the row still
+//! has the revision that it read, and the row's revision tells newer steps from older ones on all
+//! hosts. Steps travel with the beats of [`cluster`](super::cluster); what hosts saw of the versions
+//! travels to the host that steers.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use super::upstream;
 
@@ -15,53 +22,351 @@
     pub to: Rc<str>,
     /// The time in which the move is to be done.
     pub time: Duration,
+    /// The revision of the order's row, which tells it from earlier orders.
+    pub revision: u64,
 }
 
 /// How far a move has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
-pub enum Progress {
-    /// Calls are being moved.
-    #[display("running")]
-    Running,
-    /// All calls go to the new version.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, derive_more::Display,
+)]
+pub enum Stage {
+    /// A few calls go to the new version, for evidence.
+    #[display("trial")]
+    Trial,
+    /// More calls go there, step by step.
+    #[display("ramp-{_0}")]
+    Ramp(u8),
+    /// All calls go there.
+    #[display("full")]
+    Full,
+    /// All calls go there for good: the old version may end.
     #[display("completed")]
     Completed,
-    /// All calls go to the old version again.
+    /// No calls go there any more.
     #[display("rolled-back")]
     RolledBack,
 }
 
-/// What operators are told of a move.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Report {
+/// The part of the calls that goes to the new version in a trial: half of what an unproved version may
+/// get at the least, since evidence arrives with a lag.
+const TRIAL_SHARE: f64 = 0.05;
+
+/// The parts at the steps after it; each at most doubles the load that the version has been seen under.
+const RAMP_SHARES: [f64; 3] = [0.15, 0.3, 0.6];
+
+/// When the trial ends, as a part of the move's time: faults that come late have shown by then.
+const TRIAL_END: f64 = 0.5;
+
+/// The length of each later stage, as a part of the move's time.
+const STAGE_LENGTH: f64 = 0.08;
+
+/// The least time for which all calls go to the new version before the old one may end: calls that the
+/// old one still runs end within it.
+const FULL_TIME: Duration = Duration::from_millis(1300);
+
+/// Answers of a version on one route from which it can be judged by its failures.
+const LEAST_FAILURES: u32 = 4;
+
+/// The part of failed answers that is too high by itself, and by how much it has to exceed the old
+/// version's.
+const FAILED_SHARE: f64 = 0.12;
+const FAILED_RATIO: f64 = 3.0;
+
+/// Answers from which a version can be judged by its times, and the ratio of means that is too high.
+const LEAST_TIMED: u32 = 6;
+const SLOW_RATIO: f64 = 2.5;
+
+/// Answers of the new version without which a move does not go past its trial.
+const LEAST_TRIED: u32 = 8;
+
+impl Stage {
+    /// The part of the calls that goes to the new version.
+    pub fn share(self) -> f64 {
+        match self {
+            Stage::Trial => TRIAL_SHARE,
+            Stage::Ramp(step) => RAMP_SHARES[usize::from(step).min(RAMP_SHARES.len() - 1)],
+            Stage::Full | Stage::Completed => 1.0,
+            Stage::RolledBack => 0.0,
+        }
+    }
+
+    /// Whether nothing follows.
+    pub fn is_final(self) -> bool {
+        matches!(self, Stage::Completed | Stage::RolledBack)
+    }
+
+    /// The stage that follows when nothing speaks against the new version.
+    fn next(self) -> Stage {
+        match self {
+            Stage::Trial => Stage::Ramp(0),
+            Stage::Ramp(step) if usize::from(step) + 1 < RAMP_SHARES.len() => Stage::Ramp(step + 1),
+            Stage::Ramp(_) => Stage::Full,
+            Stage::Full => Stage::Completed,
+            last => last,
+        }
+    }
+}
+
+/// One step of a move, as all hosts know it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Step {
+    /// The service.
+    pub service: Rc<str>,
     /// The version to move to.
     pub to: Rc<str>,
-    /// How far it has come.
-    pub progress: Progress,
+    /// The revision of the order.
+    pub order: u64,
+    /// How far the move has come.
+    pub stage: Stage,
+    /// The revision of the step's row; 0 before it is written.
+    pub revision: u64,
+    /// Whether the new version is to get nothing though the store does not know yet.
+    pub braked: bool,
+}
+
+impl Step {
+    /// The part of the calls that goes to the new version.
+    fn share(&self) -> f64 {
+        match self.braked {
+            true => 0.0,
+            false => self.stage.share(),
+        }
+    }
+}
+
+/// What was seen of one version on one route.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Count {
+    /// Answers, failed ones among them.
+    pub answers: u32,
+    /// Failed answers, and calls without an answer.
+    pub failed: u32,
+    /// Seconds that the answers took together.
+    pub seconds: f32,
+}
+
+impl Count {
+    fn add(&mut self, other: &Count) {
+        self.answers += other.answers;
+        self.failed += other.failed;
+        self.seconds += other.seconds;
+    }
+
+    fn failed_share(&self) -> f64 {
+        f64::from(self.failed) / f64::from(self.answers.max(1))
+    }
+
+    fn mean(&self) -> f64 {
+        f64::from(self.seconds) / f64::from(self.answers.max(1))
+    }
+}
+
+/// What was seen of both versions on one route.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Pair {
+    /// The new version.
+    pub new: Count,
+    /// The old version.
+    pub old: Count,
+}
+
+/// What one host has seen during a move.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// The service.
+    pub service: Rc<str>,
+    /// The revision of the order.
+    pub order: u64,
+    /// What was seen on each route.
+    pub routes: IndexMap<Rc<str>, Pair>,
+}
+
+/// Why a version is taken for bad.
+#[derive(Debug, Clone, PartialEq, derive_more::Display)]
+#[display("{fault} on {route}: {new:.3} against {old:.3}")]
+pub struct Verdict {
+    /// What is wrong with it.
+    pub fault: Fault,
+    /// The route on which it shows.
+    pub route: Rc<str>,
+    /// The figure of the new version.
+    pub new: f64,
+    /// That of the old version.
+    pub old: f64,
+}
+
+/// What may be wrong with a version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum Fault {
+    /// Its answers fail.
+    #[display("failures")]
+    Failures,
+    /// Its answers take too long.
+    #[display("slow answers")]
+    Slow,
+}
+
+/// Whether a version is bad by what all hosts have seen together.
+///
+/// # Examples
+///
+/// ```
+/// use basilhaven::gateway::moves;
+///
+/// let good = moves::Count { answers: 200, failed: 2, seconds: 20.0 };
+/// let bad = moves::Count { answers: 12, failed: 6, seconds: 1.2 };
+/// let seen = [("prices".into(), moves::Pair { new: bad, old: good })];
+/// assert!(moves::judge(seen.iter().map(|(r, p)| (r, p))).is_some());
+/// let seen = [("prices".into(), moves::Pair { new: good, old: good })];
+/// assert!(moves::judge(seen.iter().map(|(r, p)| (r, p))).is_none());
+/// ```
+pub fn judge<'a, I>(routes: I) -> Option<Verdict>
+where
+    I: Iterator<Item = (&'a Rc<str>, &'a Pair)>,
+{
+    routes.filter_map(|(route, pair)| judge_route(route, pair)).next()
+}
+
+fn judge_route(route: &Rc<str>, pair: &Pair) -> Option<Verdict> {
+    let (new, old) = (pair.new.failed_share(), pair.old.failed_share());
+    let verdict = |fault, new, old| Some(Verdict { fault, route: Rc::clone(route), new, old });
+    if pair.new.failed >= LEAST_FAILURES && new > FAILED_SHARE && new > FAILED_RATIO * old {
+        return verdict(Fault::Failures, new, old);
+    }
+    let (new, old) = (pair.new.mean(), pair.old.mean());
+    let timed = pair.new.answers.min(pair.old.answers) >= LEAST_TIMED;
+    if timed && new > SLOW_RATIO * old {
+        return verdict(Fault::Slow, new, old);
+    }
+    None
+}
+
+/// What to do next with a move.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Decision {
+    /// Nothing yet.
+    Wait,
+    /// Go to this stage.
+    Go(Stage),
+    /// Take the move back.
+    Back(Verdict),
+}
+
+/// Decides on the next step of a move.
+pub fn decide(
+    order: &Order,
+    stage: Stage,
+    since_order: Duration,
+    since_step: Duration,
+    routes: &IndexMap<Rc<str>, Pair>,
+) -> Decision {
+    if stage.is_final() {
+        return Decision::Wait;
+    }
+    if let Some(verdict) = judge(routes.iter()) {
+        return Decision::Back(verdict);
+    }
+    let tried: u32 = routes.values().map(|pair| pair.new.answers).sum();
+    let is_due = match stage {
+        Stage::Trial => since_order >= order.time.mul_f64(TRIAL_END) && tried >= LEAST_TRIED,
+        Stage::Full => since_step >= order.time.mul_f64(STAGE_LENGTH).max(FULL_TIME),
+        _ => since_step >= order.time.mul_f64(STAGE_LENGTH),
+    };
+    match is_due {
+        true => Decision::Go(stage.next()),
+        false => Decision::Wait,
+    }
+}
+
+/// An order, and when this host learned of it.
+#[derive(Debug, Clone)]
+struct Known {
+    order: Order,
+    since: Instant,
 }
 
 /// The moves that this host knows.
 #[derive(Debug, Default)]
 pub struct Moves {
-    orders: RefCell<IndexMap<Rc<str>, Order>>,
-    reports: RefCell<IndexMap<Rc<str>, (Report, u64)>>,
+    orders: RefCell<IndexMap<Rc<str>, Known>>,
+    steps: RefCell<IndexMap<Rc<str>, (Step, Instant)>>,
+    own: RefCell<IndexMap<Rc<str>, Evidence>>,
+    heard: RefCell<IndexMap<(Rc<str>, SocketAddr), Evidence>>,
+    /// Whether the steps in the store have been read.
+    pub steps_known: Cell<bool>,
 }
 
 impl Moves {
     /// Takes in an order, or that there is none.
-    pub fn apply_order(&self, service: Rc<str>, order: Option<Order>) {
-        match order {
-            Some(order) => self.orders.borrow_mut().insert(service, order),
-            None => self.orders.borrow_mut().shift_remove(&service),
+    pub fn apply_order(&self, service: Rc<str>, order: Option<Order>, now: Instant) {
+        let Some(order) = order else {
+            self.orders.borrow_mut().shift_remove(&service);
+            return;
         };
+        let mut orders = self.orders.borrow_mut();
+        if orders.get(&service).is_some_and(|known| known.order.revision >= order.revision) {
+            return;
+        }
+        tracing::info!(
+            event = "move_ordered",
+            service = &*service,
+            to = &*order.to,
+            time_ms = order.time.as_millis() as u64,
+        );
+        self.own.borrow_mut().shift_remove(&service);
+        self.heard.borrow_mut().retain(|(of, _), _| *of != service);
+        orders.insert(service, Known { order, since: now });
     }
 
-    /// Takes in what became of a move.
-    pub fn apply_report(&self, service: Rc<str>, report: Option<Report>, revision: u64) {
-        match report {
-            Some(report) => self.reports.borrow_mut().insert(service, (report, revision)),
-            None => self.reports.borrow_mut().shift_remove(&service),
-        };
+    /// Takes in a step, unless a newer one is known; returns whether it was news.
+    pub fn apply_step(&self, step: Step, now: Instant) -> bool {
+        let mut steps = self.steps.borrow_mut();
+        let is_news = steps.get(&step.service).is_none_or(|(known, _)| {
+            (step.order, step.revision, step.braked) > (known.order, known.revision, known.braked)
+        });
+        if is_news {
+            tracing::info!(
+                event = "move_step",
+                service = &*step.service,
+                to = &*step.to,
+                stage = %step.stage,
+                revision = step.revision,
+                braked = step.braked,
+            );
+            steps.insert(Rc::clone(&step.service), (step, now));
+        }
+        is_news
+    }
+
+    /// All steps that are known.
+    pub fn steps(&self) -> Vec<Step> {
+        self.steps.borrow().values().map(|(step, _)| step.clone()).collect()
+    }
+
+    /// The orders, each with its age and the newest step of its move with that one's age.
+    pub fn orders(
+        &self,
+        now: Instant,
+    ) -> Vec<(Rc<str>, Order, Duration, Option<(Step, Duration)>)> {
+        let orders = self.orders.borrow();
+        let all = orders.iter().map(|(service, known)| {
+            let step = self.step_of(service, &known.order);
+            let step = step.map(|(step, at)| (step, now.saturating_duration_since(at)));
+            let age = now.saturating_duration_since(known.since);
+            (Rc::clone(service), known.order.clone(), age, step)
+        });
+        all.collect()
+    }
+
+    /// The revision of the row in which the steps of a service stand.
+    pub fn row_revision(&self, service: &str) -> u64 {
+        self.steps.borrow().get(service).map_or(0, |(step, _)| step.revision)
+    }
+
+    fn step_of(&self, service: &str, order: &Order) -> Option<(Step, Instant)> {
+        let steps = self.steps.borrow();
+        steps.get(service).filter(|(step, _)| step.order == order.revision).cloned()
     }
 
     /// The upstreams of the version that takes the next call of a service.
@@ -69,11 +374,85 @@
         &self,
         service: &str,
         open: Vec<&'a Rc<upstream::Upstream>>,
+        now: Instant,
     ) -> Vec<&'a Rc<upstream::Upstream>> {
         let orders = self.orders.borrow();
-        let Some(order) = orders.get(service) else { return open };
-        let (_, old): (Vec<_>, Vec<_>) =
-            open.into_iter().partition(|u| u.entry().version == order.to);
-        old
+        let Some(known) = orders.get(service) else { return open };
+        let to = &known.order.to;
+        let (new, old): (Vec<_>, Vec<_>) = open.into_iter().partition(|u| u.entry().version == *to);
+        let step = self.step_of(service, &known.order);
+        let share = step.as_ref().map_or(0.0, |(step, _)| step.share());
+        let is_completed = step.is_some_and(|(step, _)| step.stage == Stage::Completed);
+        // In a trial the new version takes only what it has room for.
+        let can_take = is_completed || new.iter().any(|u| u.warmup.admits(now));
+        if share >= 1.0 && !new.is_empty() {
+            return new;
+        }
+        match share > 0.0 && can_take && fastrand::f64() < share {
+            true if !new.is_empty() => new,
+            _ => old,
+        }
+    }
+
+    /// Takes in how a call ended that was sent to a version of a service.
+    pub fn note(&self, service: &Rc<str>, route: &Rc<str>, version: &str, count: Count) {
+        let orders = self.orders.borrow();
+        let Some(known) = orders.get(service) else { return };
+        if self.step_of(service, &known.order).is_none_or(|(step, _)| step.stage.is_final()) {
+            return;
+        }
+        let mut own = self.own.borrow_mut();
+        let evidence = own.entry(Rc::clone(service)).or_insert_with(|| Evidence {
+            service: Rc::clone(service),
+            order: known.order.revision,
+            routes: IndexMap::new(),
+        });
+        let pair = evidence.routes.entry(Rc::clone(route)).or_default();
+        match *known.order.to == *version {
+            true => pair.new.add(&count),
+            false => pair.old.add(&count),
+        }
+    }
+
+    /// What this host has seen of moves that are under way.
+    pub fn own_evidence(&self) -> Vec<Evidence> {
+        self.own.borrow().values().cloned().collect()
+    }
+
+    /// Takes in what another host has seen.
+    pub fn hear(&self, from: SocketAddr, evidence: Evidence) {
+        let orders = self.orders.borrow();
+        let known = orders.get(&evidence.service);
+        if known.is_some_and(|known| known.order.revision == evidence.order) {
+            self.heard.borrow_mut().insert((Rc::clone(&evidence.service), from), evidence);
+        }
+    }
+
+    /// What all hosts have seen together.
+    pub fn evidence(&self, service: &str) -> IndexMap<Rc<str>, Pair> {
+        let own = self.own.borrow();
+        let heard = self.heard.borrow();
+        let others = heard.iter().filter(|((of, _), _)| &**of == service).map(|(_, e)| e);
+        let mut all: IndexMap<Rc<str>, Pair> = IndexMap::new();
+        for evidence in own.get(service).into_iter().chain(others) {
+            for (route, pair) in &evidence.routes {
+                let sum = all.entry(Rc::clone(route)).or_default();
+                sum.new.add(&pair.new);
+                sum.old.add(&pair.old);
+            }
+        }
+        all
+    }
+
+    /// Drops what was seen of moves that have ended.
+    pub fn forget_ended(&self) {
+        let orders = self.orders.borrow();
+        let is_running = |service: &Rc<str>| {
+            let known = orders.get(service);
+            let step = known.and_then(|known| self.step_of(service, &known.order));
+            step.is_some_and(|(step, _)| !step.stage.is_final())
+        };
+        self.own.borrow_mut().retain(|service, _| is_running(service));
+        self.heard.borrow_mut().retain(|(service, _), _| is_running(service));
     }
 }
--- a/crates/basilhaven/src/gateway/news.rs
+++ b/crates/basilhaven/src/gateway/news.rs
@@ -87,14 +87,16 @@
         for item in items {
             match item {
                 store::Change::Config(table) => self.book.apply(table),
-                store::Change::Move { service, order } => self.moves.apply_order(service, order),
+                store::Change::Move { service, order } => {
+                    self.moves.apply_order(service, order, now);
+                }
                 store::Change::Evacuation { data_centre, ordered } => {
                     tracing::info!(event = "evacuation", data_centre = &*data_centre, ordered);
                     self.registry.evacuate(data_centre, ordered);
                 }
                 store::Change::Upstream { id, entry } => self.registry.apply(id, entry, now),
-                store::Change::Report { service, report, revision } => {
-                    self.moves.apply_report(service, report, revision);
+                store::Change::Step(step) => {
+                    self.moves.apply_step(step, now);
                 }
                 store::Change::Host { record, .. } => {
                     record.into_iter().for_each(|r| self.members.add_contact(r.peer));
@@ -128,7 +130,11 @@
                 self.registry.evacuate_only(ordered);
                 self.apply(items, now);
             }
-            store::Source::Moves | store::Source::Hosts => self.apply(items, now),
+            store::Source::Moves => {
+                self.apply(items, now);
+                self.moves.steps_known.set(true);
+            }
+            store::Source::Hosts => self.apply(items, now),
         }
     }
 }
--- a/crates/basilhaven/src/gateway/place.rs
+++ b/crates/basilhaven/src/gateway/place.rs
@@ -125,7 +125,8 @@
     data_centre: Rc<str>,
     registry: Rc<registry::Registry>,
     members: Rc<cluster::Members>,
-    moves: Rc<moves::Moves>,
+    /// The moves between versions.
+    pub moves: Rc<moves::Moves>,
     prober: Rc<probe::Prober>,
     cold_overage: f64,
     desks: RefCell<IndexMap<Rc<str>, Rc<Desk>>>,
@@ -185,7 +186,7 @@
         let all = self.registry.of_service(need.service);
         let now = Instant::now();
         let open: Vec<_> = all.iter().filter(|u| self.registry.is_open(u, now)).collect();
-        let open = self.moves.choose_version(need.service, open);
+        let open = self.moves.choose_version(need.service, open, now);
         if open.is_empty() {
             return Err(Refusal::NoUpstream);
         }
@@ -224,8 +225,10 @@
         let is_fresh = |u: &upstream::Upstream| u.report().is_some_and(|r| now - r.at <= FRESH);
         let mut pending: Vec<(&Rc<upstream::Upstream>, u64)> = Vec::with_capacity(asked.len());
         for &upstream in asked.iter().filter(|u| !is_fresh(u)) {
-            pending.push((upstream, upstream.probed.count()));
-            self.prober.start(upstream, &service.health_path);
+            let seen = upstream.probed.count();
+            if self.prober.start(upstream, &service.health_path) {
+                pending.push((upstream, seen));
+            }
         }
         let answered = async {
             for (upstream, seen) in &pending {
--- a/crates/basilhaven/src/gateway/probe.rs
+++ b/crates/basilhaven/src/gateway/probe.rs
@@ -6,12 +6,18 @@
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderValue};
 
-use super::{protocol, upstream};
+use super::{cluster, protocol, upstream};
 use crate::http1::{self, body, client};
 
 /// The longest that a probe may take; upstreams answer it at once, beside the round trip.
 const TIMEOUT: Duration = Duration::from_millis(50);
 
+/// The part of the probes allowed that hosts use together, since they count each other with a lag.
+const USED_SHARE: f64 = 0.85;
+
+/// Probes of one upstream that a host may save up.
+const BURST: f64 = 5.0;
+
 /// Bytes of a health response's head.
 const MAX_HEAD_LEN: usize = 4 * 1024;
 
@@ -25,25 +31,46 @@
 #[derive(Debug)]
 pub struct Prober {
     protocol: protocol::Protocol,
+    rate: f64,
+    members: Rc<cluster::Members>,
 }
 
 impl Prober {
-    /// A prober for this protocol.
-    pub fn new(protocol: protocol::Protocol) -> Prober {
-        Prober { protocol }
+    /// A prober for this protocol; all hosts together make `rate` probes a second of an upstream at
+    /// most.
+    pub fn new(protocol: protocol::Protocol, rate: f64, members: Rc<cluster::Members>) -> Prober {
+        Prober { protocol, rate, members }
     }
 
-    /// Starts a probe, unless one is under way.
-    pub fn start(self: &Rc<Self>, upstream: &Rc<upstream::Upstream>, path: &Rc<str>) {
-        if upstream.is_probed.replace(true) {
-            return;
+    /// Takes one probe of an upstream out of this host's share, when there is one left.
+    fn try_take(&self, upstream: &upstream::Upstream) -> bool {
+        let now = Instant::now();
+        let (tokens, at) = upstream.probe_tokens.get();
+        let rate = self.rate * USED_SHARE / self.members.expected(now) as f64;
+        let passed = now.saturating_duration_since(at).as_secs_f64();
+        let tokens = (tokens + passed * rate).min(BURST);
+        let enough = tokens >= 1.0;
+        upstream.probe_tokens.set((if enough { tokens - 1.0 } else { tokens }, now));
+        enough
+    }
+
+    /// Starts a probe, unless one is under way or this host has used up its share; returns whether
+    /// there will be an answer to wait for.
+    pub fn start(self: &Rc<Self>, upstream: &Rc<upstream::Upstream>, path: &Rc<str>) -> bool {
+        if upstream.is_probed.get() {
+            return true;
+        }
+        if !self.try_take(upstream) {
+            return false;
         }
+        upstream.is_probed.set(true);
         let (prober, upstream, path) = (Rc::clone(self), Rc::clone(upstream), Rc::clone(path));
         monoio::spawn(async move {
             prober.probe(&upstream, &path).await;
             upstream.is_probed.set(false);
             upstream.probed.notify();
         });
+        true
     }
 
     async fn probe(&self, upstream: &upstream::Upstream, path: &str) {
--- a/crates/basilhaven/src/gateway/retries.rs
+++ b/crates/basilhaven/src/gateway/retries.rs
@@ -34,6 +34,18 @@
     pub slack: f64,
 }
 
+/// The part of the shared budget that hosts use together: their windows do not begin at the same time,
+/// and they count each other with a lag.
+const USED_SHARE: f64 = 0.85;
+
+impl Allowance {
+    /// What one of `hosts` may spend that share a slack; the ratio goes with each host's own calls.
+    pub fn of_one(self, hosts: usize) -> Allowance {
+        let slack = self.slack * USED_SHARE / hosts.max(1) as f64;
+        Allowance { ratio: self.ratio * USED_SHARE, slack }
+    }
+}
+
 /// Slices of a window; a slice is forgotten as a whole.
 const SLICES: usize = 10;
 
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -13,7 +13,8 @@
 use monoio::net::{TcpListener, UnixStream};
 
 use super::{
-    cluster, directory, front, news, place, probe, protocol, registry, retries, settings, store,
+    cluster, directory, front, news, place, probe, protocol, registry, retries, settings, steer,
+    store,
 };
 use crate::{finding, log};
 
@@ -116,18 +117,19 @@
     });
     let front = front(&settings, store.protocol(), &desk);
     let peer = Rc::new(sockets.peer);
-    monoio::spawn(cluster::receive(Rc::clone(&members), Rc::clone(&peer)));
-    monoio::spawn(cluster::spread(Rc::clone(&members), Rc::clone(&peer)));
+    monoio::spawn(cluster::receive(Rc::clone(&desk), Rc::clone(&peer)));
+    monoio::spawn(cluster::spread(Rc::clone(&desk), Rc::clone(&peer)));
     monoio::spawn(news::follow(Rc::clone(&store), store::Source::Orders, Rc::clone(&desk)));
     monoio::spawn(news::follow(Rc::clone(&store), store::Source::Upstreams, Rc::clone(&desk)));
     monoio::spawn(register(Rc::clone(&store), record, Rc::clone(&desk)));
+    monoio::spawn(steer::watch(Rc::clone(&store), Rc::clone(&desk), Rc::clone(&peer)));
     monoio::spawn(tidy(Rc::clone(&desk.registry)));
     monoio::spawn(become_ready(Rc::clone(&desk), Rc::clone(&peer)));
     monoio::spawn(note_reloads(reload));
     pages(&settings, &front, sockets.ready, sockets.directory, sockets.metrics, log);
     monoio::spawn(front::accept(Rc::clone(&front), sockets.callers));
     tracing::info!(event = "started", host = &*settings.name, callers = %settings.listen);
-    shut_down(&settings, &front, &peer, stop).await;
+    shut_down(&settings, &front, &desk, &peer, stop).await;
     tracing::info!(event = "stopped", host = &*settings.name, connections = front.open.get());
     Ok(())
 }
@@ -142,7 +144,11 @@
         Rc::clone(&desk.registry),
         Rc::clone(&desk.members),
         Rc::clone(&desk.moves),
-        Rc::new(probe::Prober::new(protocol.clone())),
+        Rc::new(probe::Prober::new(
+            protocol.clone(),
+            settings.probe_rate,
+            Rc::clone(&desk.members),
+        )),
     );
     Rc::new(front::Front {
         book: Rc::clone(&desk.book),
@@ -233,7 +239,7 @@
     }
     if desk.members.state() == cluster::State::Starting {
         desk.members.set_state(cluster::State::Ready);
-        cluster::send_beat(&desk.members, &peer).await;
+        cluster::send_beat(&desk, &peer).await;
         tracing::info!(event = "ready", upstreams = desk.registry.len());
     }
 }
@@ -263,6 +269,7 @@
 async fn shut_down(
     settings: &settings::Settings,
     front: &front::Front,
+    desk: &news::Desk,
     peer: &UdpSocket,
     mut stop: UnixStream,
 ) {
@@ -271,7 +278,7 @@
     let told = Instant::now();
     front.members.set_state(cluster::State::Leaving);
     tracing::info!(event = "leaving", host = &*settings.name, connections = front.open.get());
-    cluster::send_beat(&front.members, peer).await;
+    cluster::send_to_all(desk, peer).await;
     monoio::time::sleep(settings.grace.mul_f64(SERVE_SHARE)).await;
     front.closing.notify();
     let end = told + settings.grace.mul_f64(END_SHARE);
--- a/crates/basilhaven/src/gateway/settings.rs
+++ b/crates/basilhaven/src/gateway/settings.rs
@@ -61,6 +61,9 @@
     /// Calls that it may get besides
     #[bpaf(long, env("BASILHAVEN_EXPOSURE_SLACK"), argument("N"), fallback("50".to_owned()))]
     pub exposure_slack: String,
+    /// Probes of one upstream a second, over all hosts
+    #[bpaf(long, env("BASILHAVEN_PROBE_RATE"), argument("N"), fallback("60".to_owned()))]
+    pub probe_rate: String,
     /// What is logged: error, warn, info or debug; every send is at info
     #[bpaf(long, env("BASILHAVEN_LOG"), argument("LEVEL"), fallback("info".to_owned()))]
     pub log: String,
@@ -99,6 +102,8 @@
     pub exposure_share: f64,
     /// Calls that it may get besides.
     pub exposure_slack: f64,
+    /// Probes of one upstream a second, over all hosts.
+    pub probe_rate: f64,
     /// What is logged.
     pub log: crate::settings::Level,
 }
@@ -136,6 +141,7 @@
         let retry_slack = number("--retry-slack", &raw.retry_slack);
         let exposure_share = number("--exposure-share", &raw.exposure_share);
         let exposure_slack = number("--exposure-slack", &raw.exposure_slack);
+        let probe_rate = number("--probe-rate", &raw.probe_rate);
         let log = findings.keep("--log", crate::settings::Level::try_from(&*raw.log));
         let settings = (|| {
             Some(Settings {
@@ -154,6 +160,7 @@
                 retry_slack: retry_slack?,
                 exposure_share: exposure_share?,
                 exposure_slack: exposure_slack?,
+                probe_rate: probe_rate?,
                 log: log?,
             })
         })();
--- /dev/null
+++ b/crates/basilhaven/src/gateway/steer.rs
@@ -0,0 +1,101 @@
+//! Steers moves between versions, on the host whose turn it is.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use monoio::net::udp::UdpSocket;
+
+use super::{cluster, moves, news, store};
+
+/// The pause between two looks at the moves.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Looks at all moves again and again; steers them where it is this host's turn, and tells what it has
+/// seen to the host whose turn it is where not.
+pub async fn watch<S>(store: Rc<S>, desk: Rc<news::Desk>, socket: Rc<UdpSocket>)
+where
+    S: store::Store,
+{
+    loop {
+        monoio::time::sleep(PAUSE).await;
+        let now = Instant::now();
+        let orders = desk.moves.orders(now);
+        desk.moves.forget_ended();
+        if orders.is_empty() {
+            continue;
+        }
+        if !desk.moves.steps_known.get() {
+            news::read_once(&*store, store::Source::Moves, &desk).await;
+            continue;
+        }
+        let Some(leader) = desk.members.leader(now) else {
+            steer(&*store, &desk, &socket).await;
+            continue;
+        };
+        for evidence in desk.moves.own_evidence() {
+            cluster::send_frame(&socket, &cluster::Frame::Evidence(evidence), leader).await;
+        }
+    }
+}
+
+async fn steer<S>(store: &S, desk: &news::Desk, socket: &UdpSocket)
+where
+    S: store::Store,
+{
+    for (service, order, age, step) in desk.moves.orders(Instant::now()) {
+        let Some((step, step_age)) = step else {
+            write(store, desk, socket, first_step(&service, &order)).await;
+            continue;
+        };
+        let seen = desk.moves.evidence(&service);
+        match moves::decide(&order, step.stage, age, step_age, &seen) {
+            moves::Decision::Wait => {}
+            moves::Decision::Go(_) if step.braked => {}
+            moves::Decision::Go(stage) => {
+                write(store, desk, socket, moves::Step { stage, ..step }).await;
+            }
+            moves::Decision::Back(verdict) => {
+                tracing::info!(event = "version_is_bad", service = &*service, to = &*step.to, %verdict);
+                if !step.braked {
+                    let braked = moves::Step { braked: true, ..step.clone() };
+                    desk.moves.apply_step(braked, Instant::now());
+                    cluster::send_to_all(desk, socket).await;
+                }
+                let stage = moves::Stage::RolledBack;
+                write(store, desk, socket, moves::Step { stage, ..step }).await;
+            }
+        }
+    }
+}
+
+fn first_step(service: &Rc<str>, order: &moves::Order) -> moves::Step {
+    moves::Step {
+        service: Rc::clone(service),
+        to: Rc::clone(&order.to),
+        order: order.revision,
+        stage: moves::Stage::Trial,
+        revision: 0,
+        braked: false,
+    }
+}
+
+/// Writes a step under the condition that the row has not changed; it holds once that is done.
+async fn write<S>(store: &S, desk: &news::Desk, socket: &UdpSocket, step: moves::Step)
+where
+    S: store::Store,
+{
+    let expected = desk.moves.row_revision(&step.service);
+    match store.write_step(&step, expected).await {
+        Ok(revision) => {
+            desk.moves.apply_step(moves::Step { revision, braked: false, ..step }, Instant::now());
+            cluster::send_to_all(desk, socket).await;
+        }
+        Err(error) => {
+            tracing::warn!(event = "step_not_written", service = &*step.service, %error);
+            // Another host may have written, or the write may have been done without an answer.
+            if matches!(error, store::Error::Conflict | store::Error::Unanswered(_)) {
+                desk.moves.steps_known.set(false);
+            }
+        }
+    }
+}
--- a/crates/basilhaven/src/gateway/store.rs
+++ b/crates/basilhaven/src/gateway/store.rs
@@ -18,7 +18,7 @@
     /// The list of upstreams.
     #[display("upstreams")]
     Upstreams,
-    /// What became of moves between versions.
+    /// The steps of moves between versions.
     #[display("moves")]
     Moves,
     /// The hosts that have started.
@@ -52,15 +52,8 @@
         /// What it says of itself.
         entry: Option<upstream::Entry>,
     },
-    /// What became of a move.
-    Report {
-        /// The service.
-        service: Rc<str>,
-        /// The report.
-        report: Option<moves::Report>,
-        /// The revision of the row.
-        revision: u64,
-    },
+    /// A step of a move.
+    Step(moves::Step),
     /// A host that has started.
     Host {
         /// The row's key.
@@ -128,11 +121,11 @@
     /// Writes what a host says of itself.
     fn register(&self, record: &cluster::Record) -> impl Future<Output = Result<(), Error>>;
 
-    /// Writes what became of a move, when the row still has the revision `expected`.
-    fn report(
+    /// Writes a step of a move, and what operators are told of it, when the step's row still has the
+    /// revision `expected`; 0 for none. Returns the row's new revision.
+    fn write_step(
         &self,
-        service: &str,
-        report: &moves::Report,
+        step: &moves::Step,
         expected: u64,
-    ) -> impl Future<Output = Result<(), Error>>;
+    ) -> impl Future<Output = Result<u64, Error>>;
 }
--- a/crates/basilhaven/src/gateway/upstream.rs
+++ b/crates/basilhaven/src/gateway/upstream.rs
@@ -77,6 +77,7 @@
     idle: RefCell<Vec<Idle>>,
     pub(super) probe_conn: RefCell<Option<http1::Conn>>,
     pub(super) is_probed: Cell<bool>,
+    pub(super) probe_tokens: Cell<(f64, Instant)>,
     /// Notified when a probe has ended.
     pub probed: signal::Signal,
     refused_health: Cell<Option<Instant>>,
@@ -96,6 +97,7 @@
             idle: RefCell::default(),
             probe_conn: RefCell::default(),
             is_probed: Cell::default(),
+            probe_tokens: Cell::new((1.0, now)),
             probed: signal::Signal::default(),
             refused_health: Cell::default(),
             failures: Cell::new((0.0, now)),
