--- a/crates/basilhaven/src/gateway/cluster.rs
+++ b/crates/basilhaven/src/gateway/cluster.rs
@@ -14,14 +14,28 @@
 
 use super::{moves, news};
 
-/// The time between two beats.
+/// The time between two beats, among few hosts and among many.
 const BEAT: Duration = Duration::from_millis(250);
+const BEAT_AMONG_MANY: Duration = Duration::from_millis(350);
 
-/// Hosts that a host sends its view to at each beat.
+/// Hosts that a host sends its view to at each beat, among few hosts and among many.
 const FANOUT: usize = 3;
+const FANOUT_AMONG_MANY: usize = 2;
 
-/// A host whose count has not risen for this long is taken for dead.
+/// A host whose count has not risen for this long is taken for dead, among few hosts and among many:
+/// with two hosts told at each beat, counts of one in ten thousand are as old.
 const DEAD_AFTER: Duration = Duration::from_millis(1800);
+const DEAD_AFTER_AMONG_MANY: Duration = Duration::from_millis(4500);
+
+/// The most hosts that are few.
+const FEW: usize = 24;
+
+/// Hosts that watch the store, among few hosts and among many.
+const WATCHERS: usize = 2;
+const WATCHERS_AMONG_MANY: usize = 3;
+
+/// How long a host that could not read the store is passed over as a watcher.
+const BLIND_TIME: Duration = Duration::from_secs(5);
 
 /// How long a host that was live counts among those that may send to cold upstreams.
 const EXPECTED_MEMORY: Duration = Duration::from_secs(8);
@@ -63,11 +77,15 @@
     address: [u8; 4],
     peer_port: u16,
     caller_port: u16,
-    data_centre: u32,
+    data_centre: u16,
     /// Tells one run of its process from another.
-    run: u32,
+    run: u16,
     beat: u32,
     state: State,
+    /// Whether it can read the store.
+    sees_store: bool,
+    /// How much it can carry, compared with other hosts.
+    capacity: u8,
 }
 
 impl Pulse {
@@ -105,16 +123,26 @@
     started: Instant,
     heard: RefCell<IndexMap<SocketAddr, Heard>>,
     contacts: RefCell<IndexSet<SocketAddr>>,
+    blind_since: Cell<Option<Instant>>,
+}
+
+/// The hosts that watch the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Watchers {
+    /// Whether this host is one of them.
+    pub is_own: bool,
+    /// The other ones.
+    pub others: Vec<SocketAddr>,
 }
 
 /// A short form of a name, the same on all hosts.
-fn digest(name: &str) -> u32 {
-    rapidhash::v3::rapidhash_v3(name.as_bytes()) as u32
+fn digest(name: &str) -> u16 {
+    rapidhash::v3::rapidhash_v3(name.as_bytes()) as u16
 }
 
 impl Members {
     /// A host that knows no other one yet; addresses that are not IPv4 are reached by no host.
-    pub fn new(record: &Record, now: Instant) -> Members {
+    pub fn new(record: &Record, capacity: u8, now: Instant) -> Members {
         let address = match record.peer {
             SocketAddr::V4(address) => address.ip().octets(),
             SocketAddr::V6(_) => [0; 4],
@@ -124,15 +152,18 @@
             peer_port: record.peer.port(),
             caller_port: record.callers.port(),
             data_centre: digest(&record.data_centre),
-            run: fastrand::u32(..),
+            run: fastrand::u16(..),
             beat: 0,
             state: State::Starting,
+            sees_store: true,
+            capacity,
         };
         Members {
             own: Cell::new(own),
             started: now,
             heard: RefCell::default(),
             contacts: RefCell::default(),
+            blind_since: Cell::default(),
         }
     }
 
@@ -153,9 +184,42 @@
         self.own.set(Pulse { state, ..self.own.get() });
     }
 
+    /// Whether there are many hosts.
+    fn are_many(&self) -> bool {
+        self.heard.borrow().len() >= FEW
+    }
+
+    /// How long a host may be silent that is live.
+    fn dead_after(&self) -> Duration {
+        match self.are_many() {
+            true => DEAD_AFTER_AMONG_MANY,
+            false => DEAD_AFTER,
+        }
+    }
+
+    /// Notes whether this host can read the store.
+    pub fn set_sees_store(&self, sees_store: bool, now: Instant) {
+        self.blind_since.set((!sees_store).then_some(now));
+        self.own.set(Pulse { sees_store, ..self.own.get() });
+    }
+
+    /// The hosts that watch the store: of those that can read it, the ones that can carry most.
+    pub fn watchers(&self, now: Instant) -> Watchers {
+        let own = self.own.get().peer();
+        let mut live = self.live(now);
+        live.retain(|pulse| pulse.state != State::Leaving);
+        let place = |pulse: &Pulse| rapidhash::v3::rapidhash_v3(&pulse.address);
+        live.sort_by_key(|p| (!p.sees_store, u8::MAX - p.capacity, place(p), p.peer()));
+        live.truncate(if live.len() > FEW { WATCHERS_AMONG_MANY } else { WATCHERS });
+        let mut others: Vec<SocketAddr> = live.iter().map(Pulse::peer).collect();
+        others.retain(|peer| *peer != own);
+        Watchers { is_own: others.len() < live.len(), others }
+    }
+
     /// Takes in what a host has told; returns whether it told of a host that was not known.
     pub fn hear(&self, from: SocketAddr, pulses: &[Pulse], now: Instant) -> bool {
         let own = self.own.get().peer();
+        let dead_after = self.dead_after();
         let mut heard = self.heard.borrow_mut();
         let mut news = false;
         for &pulse in pulses.iter().filter(|pulse| pulse.peer() != own) {
@@ -164,7 +228,7 @@
                 None => true,
                 Some(known) if known.pulse.run == pulse.run => pulse.beat > known.pulse.beat,
                 // Only the host itself, or the silence of its earlier run, ends that run.
-                Some(known) => is_direct || now.saturating_duration_since(known.at) > DEAD_AFTER,
+                Some(known) => is_direct || now.saturating_duration_since(known.at) > dead_after,
             };
             if is_newer {
                 let known = heard.insert(pulse.peer(), Heard { pulse, at: now });
@@ -174,12 +238,14 @@
         news
     }
 
-    /// The live hosts, this one first.
+    /// The live hosts: this one, then those that were heard of last.
     fn live(&self, now: Instant) -> Vec<Pulse> {
+        let dead_after = self.dead_after();
         let heard = self.heard.borrow();
-        let is_live = |h: &&Heard| now.saturating_duration_since(h.at) <= DEAD_AFTER;
-        let others = heard.values().filter(is_live).map(|h| h.pulse);
-        std::iter::once(self.own.get()).chain(others).collect()
+        let is_live = |h: &&Heard| now.saturating_duration_since(h.at) <= dead_after;
+        let mut others: Vec<&Heard> = heard.values().filter(is_live).collect();
+        others.sort_by_key(|h| std::cmp::Reverse(h.at));
+        std::iter::once(self.own.get()).chain(others.iter().map(|h| h.pulse)).collect()
     }
 
     /// The hosts that callers may be sent to, those of the caller's data centre first; `None` while this
@@ -224,11 +290,13 @@
     /// The pulses of the next beat, and to whom they go.
     fn beat(&self, now: Instant) -> (Vec<Pulse>, Vec<SocketAddr>) {
         let own = self.own.get();
-        self.own.set(Pulse { beat: own.beat + 1, ..own });
+        let blind = self.blind_since.get();
+        let is_blind = blind.is_some_and(|since| now.saturating_duration_since(since) < BLIND_TIME);
+        self.own.set(Pulse { beat: own.beat + 1, sees_store: !is_blind, ..own });
         let mut pulses = self.live(now);
         let mut targets: Vec<SocketAddr> = pulses[1..].iter().map(Pulse::peer).collect();
         fastrand::shuffle(&mut targets);
-        targets.truncate(FANOUT);
+        targets.truncate(if self.are_many() { FANOUT_AMONG_MANY } else { FANOUT });
         let silent: Vec<SocketAddr> = {
             let contacts = self.contacts.borrow();
             let is_known = |address: &SocketAddr| pulses.iter().any(|p| p.peer() == *address);
@@ -239,10 +307,7 @@
         } else if let Some(one) = fastrand::choice(&silent) {
             targets.push(*one);
         }
-        if pulses.len() > MAX_PULSES {
-            fastrand::shuffle(&mut pulses[1..]);
-            pulses.truncate(MAX_PULSES);
-        }
+        pulses.truncate(MAX_PULSES);
         (pulses, targets)
     }
 
@@ -258,14 +323,15 @@
     loop {
         send_beat(&desk, &socket).await;
         desk.members.forget(Instant::now());
-        monoio::time::sleep(BEAT).await;
+        let pause = if desk.members.are_many() { BEAT_AMONG_MANY } else { BEAT };
+        monoio::time::sleep(pause).await;
     }
 }
 
 /// Sends this host's view to some hosts now.
 pub async fn send_beat(desk: &news::Desk, socket: &UdpSocket) {
     let (pulses, targets) = desk.members.beat(Instant::now());
-    let frame = Frame::Pulses(pulses, desk.moves.steps());
+    let frame = Frame::Pulses(pulses, desk.moves.steps(Instant::now()));
     for target in targets {
         send_frame(socket, &frame, target).await;
     }
@@ -275,7 +341,7 @@
 pub async fn send_to_all(desk: &news::Desk, socket: &UdpSocket) {
     let now = Instant::now();
     let (pulses, _) = desk.members.beat(now);
-    let frame = Frame::Pulses(pulses, desk.moves.steps());
+    let frame = Frame::Pulses(pulses, desk.moves.steps(Instant::now()));
     for target in desk.members.others(now) {
         send_frame(socket, &frame, target).await;
     }
@@ -336,5 +402,5 @@
 async fn reply(desk: &news::Desk, socket: &UdpSocket, target: SocketAddr) {
     let mut pulses = desk.members.live(Instant::now());
     pulses.truncate(MAX_PULSES);
-    send_frame(socket, &Frame::Pulses(pulses, desk.moves.steps()), target).await;
+    send_frame(socket, &Frame::Pulses(pulses, desk.moves.steps(Instant::now())), target).await;
 }
--- a/crates/basilhaven/src/gateway/front.rs
+++ b/crates/basilhaven/src/gateway/front.rs
@@ -128,6 +128,7 @@
 async fn requests(front: &Front, conn: &mut http1::Conn) -> Result<Next, http1::Error> {
     loop {
         let limits = front.book.limits();
+        conn.release();
         if !await_request(front, conn, limits.idle_timeout).await {
             return Ok(Next::Close);
         }
--- /dev/null
+++ b/crates/basilhaven/src/gateway/journal.rs
@@ -0,0 +1,86 @@
+//! What this host knows of the store: up to which revision, how sure that is, and the latest changes.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use super::{signal, store};
+
+/// Batches of changes that are kept for hosts that follow this one; they come less than twice a second.
+const MAX_BATCHES: usize = 32;
+
+/// Changes that came together.
+#[derive(Debug, Clone)]
+pub struct Batch {
+    /// The revision before them.
+    pub after: u64,
+    /// The revision with them.
+    pub revision: u64,
+    /// The changes.
+    pub items: Rc<Vec<store::Change>>,
+}
+
+/// What is known of one part of the store.
+#[derive(Debug, Default)]
+pub struct Journal {
+    revision: Cell<u64>,
+    confirmed: Cell<Option<Instant>>,
+    batches: RefCell<VecDeque<Batch>>,
+    /// Notified at each batch.
+    pub changed: signal::Signal,
+}
+
+impl Journal {
+    /// The revision up to which all is known; 0 before the part has been read.
+    pub fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
+    /// How long ago the store is known to have had nothing newer.
+    pub fn age(&self, now: Instant) -> Duration {
+        self.confirmed.get().map_or(Duration::MAX, |at| now.saturating_duration_since(at))
+    }
+
+    /// Notes that the store had nothing newer at a moment.
+    pub fn confirm(&self, at: Instant) {
+        if self.confirmed.get().is_none_or(|known| known < at) {
+            self.confirmed.set(Some(at));
+        }
+    }
+
+    /// Notes that the part has been read whole.
+    pub fn restart(&self, revision: u64) {
+        self.batches.borrow_mut().clear();
+        self.revision.set(revision);
+        self.changed.notify();
+    }
+
+    /// Adds changes that came after what is known.
+    pub fn add(&self, revision: u64, items: Vec<store::Change>) {
+        let after = self.revision.replace(revision);
+        if items.is_empty() {
+            return;
+        }
+        let mut batches = self.batches.borrow_mut();
+        if batches.len() == MAX_BATCHES {
+            batches.pop_front();
+        }
+        batches.push_back(Batch { after, revision, items: Rc::new(items) });
+        drop(batches);
+        self.changed.notify();
+    }
+
+    /// The changes after a revision; `None` when they are no longer all known.
+    pub fn since(&self, revision: u64) -> Option<Vec<Batch>> {
+        if revision >= self.revision.get() {
+            return Some(Vec::new());
+        }
+        let batches = self.batches.borrow();
+        let oldest = batches.front().map(|batch| batch.after);
+        if oldest.is_none_or(|oldest| oldest > revision) {
+            return None;
+        }
+        Some(batches.iter().filter(|batch| batch.revision > revision).cloned().collect())
+    }
+}
--- a/crates/basilhaven/src/gateway/moves.rs
+++ b/crates/basilhaven/src/gateway/moves.rs
@@ -10,13 +10,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 use super::upstream;
 
 /// An order to move a service's calls to another version.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Order {
     /// The version to move to.
     pub to: Rc<str>,
@@ -52,14 +52,15 @@
 /// get at the least, since evidence arrives with a lag.
 const TRIAL_SHARE: f64 = 0.05;
 
-/// The parts at the steps after it; each at most doubles the load that the version has been seen under.
-const RAMP_SHARES: [f64; 3] = [0.15, 0.3, 0.6];
+/// The parts at the steps after it; up to the last one, an unproved version gets less than a tenth of
+/// the calls between order and deadline.
+const RAMP_SHARES: [f64; 3] = [0.1, 0.25, 0.5];
 
 /// When the trial ends, as a part of the move's time: faults that come late have shown by then.
 const TRIAL_END: f64 = 0.5;
 
 /// The length of each later stage, as a part of the move's time.
-const STAGE_LENGTH: f64 = 0.08;
+const STAGE_LENGTH: f64 = 0.06;
 
 /// The least time for which all calls go to the new version before the old one may end: calls that the
 /// old one still runs end within it.
@@ -68,10 +69,12 @@
 /// Answers of a version on one route from which it can be judged by its failures.
 const LEAST_FAILURES: u32 = 4;
 
-/// The part of failed answers that is too high by itself, and by how much it has to exceed the old
-/// version's.
-const FAILED_SHARE: f64 = 0.12;
+/// By how much failures have to exceed what the old version's share of failures leads to expect.
 const FAILED_RATIO: f64 = 3.0;
+const FAILED_EXCESS: f64 = 3.0;
+
+/// Answers, one of them failed, that are assumed of the old version before any was seen.
+const PRIOR_ANSWERS: f64 = 100.0;
 
 /// Answers from which a version can be judged by its times, and the ratio of means that is too high.
 const LEAST_TIMED: u32 = 6;
@@ -123,6 +126,9 @@
     pub revision: u64,
     /// Whether the new version is to get nothing though the store does not know yet.
     pub braked: bool,
+    /// How long ago the order was given when the step was told, in milliseconds: a host that starts
+    /// during a move learns of it this way.
+    pub order_age_ms: u32,
 }
 
 impl Step {
@@ -231,7 +237,10 @@
 fn judge_route(route: &Rc<str>, pair: &Pair) -> Option<Verdict> {
     let (new, old) = (pair.new.failed_share(), pair.old.failed_share());
     let verdict = |fault, new, old| Some(Verdict { fault, route: Rc::clone(route), new, old });
-    if pair.new.failed >= LEAST_FAILURES && new > FAILED_SHARE && new > FAILED_RATIO * old {
+    let prior = (f64::from(pair.old.failed) + 1.0) / (f64::from(pair.old.answers) + PRIOR_ANSWERS);
+    let expected = prior * f64::from(pair.new.answers);
+    let failed = f64::from(pair.new.failed);
+    if pair.new.failed >= LEAST_FAILURES && failed > FAILED_RATIO * expected + FAILED_EXCESS {
         return verdict(Fault::Failures, new, old);
     }
     let (new, old) = (pair.new.mean(), pair.old.mean());
@@ -286,6 +295,19 @@
     since: Instant,
 }
 
+/// An order, and how far it has come.
+#[derive(Debug, Clone)]
+pub struct Status {
+    /// The service.
+    pub service: Rc<str>,
+    /// The order.
+    pub order: Order,
+    /// How long ago it was given.
+    pub age: Duration,
+    /// The newest step, and how long ago it was taken.
+    pub step: Option<(Step, Duration)>,
+}
+
 /// The moves that this host knows.
 #[derive(Debug, Default)]
 pub struct Moves {
@@ -321,6 +343,7 @@
 
     /// Takes in a step, unless a newer one is known; returns whether it was news.
     pub fn apply_step(&self, step: Step, now: Instant) -> bool {
+        self.note_age(&step, now);
         let mut steps = self.steps.borrow_mut();
         let is_news = steps.get(&step.service).is_none_or(|(known, _)| {
             (step.order, step.revision, step.braked) > (known.order, known.revision, known.braked)
@@ -339,22 +362,46 @@
         is_news
     }
 
-    /// All steps that are known.
-    pub fn steps(&self) -> Vec<Step> {
-        self.steps.borrow().values().map(|(step, _)| step.clone()).collect()
+    /// Notes how old an order is, where another host knows it for longer.
+    fn note_age(&self, step: &Step, now: Instant) {
+        let mut orders = self.orders.borrow_mut();
+        let Some(known) = orders.get_mut(&step.service) else { return };
+        let since = now.checked_sub(Duration::from_millis(step.order_age_ms.into()));
+        if known.order.revision == step.order {
+            known.since = since.unwrap_or(known.since).min(known.since);
+        }
+    }
+
+    /// All steps that are known, to be told to other hosts.
+    pub fn steps(&self, now: Instant) -> Vec<Step> {
+        let orders = self.orders.borrow();
+        let steps = self.steps.borrow();
+        let told = steps.values().map(|(step, _)| {
+            let known = orders.get(&step.service);
+            let age = known.filter(|known| known.order.revision == step.order);
+            let age =
+                age.map_or(Duration::ZERO, |known| now.saturating_duration_since(known.since));
+            Step { order_age_ms: age.as_millis().min(u32::MAX.into()) as u32, ..step.clone() }
+        });
+        told.collect()
+    }
+
+    /// Drops all orders but those of these services.
+    pub fn keep_orders(&self, services: &IndexSet<Rc<str>>) {
+        self.orders.borrow_mut().retain(|service, _| services.contains(service));
     }
 
-    /// The orders, each with its age and the newest step of its move with that one's age.
-    pub fn orders(
-        &self,
-        now: Instant,
-    ) -> Vec<(Rc<str>, Order, Duration, Option<(Step, Duration)>)> {
+    /// The orders, and how far each has come.
+    pub fn orders(&self, now: Instant) -> Vec<Status> {
         let orders = self.orders.borrow();
         let all = orders.iter().map(|(service, known)| {
             let step = self.step_of(service, &known.order);
-            let step = step.map(|(step, at)| (step, now.saturating_duration_since(at)));
-            let age = now.saturating_duration_since(known.since);
-            (Rc::clone(service), known.order.clone(), age, step)
+            Status {
+                service: Rc::clone(service),
+                order: known.order.clone(),
+                age: now.saturating_duration_since(known.since),
+                step: step.map(|(step, at)| (step, now.saturating_duration_since(at))),
+            }
         });
         all.collect()
     }
--- a/crates/basilhaven/src/gateway/news.rs
+++ b/crates/basilhaven/src/gateway/news.rs
@@ -1,15 +1,20 @@
-//! Follows the users' store, and puts in force what it says.
+//! Follows the users' store, by itself or through other hosts, and puts in force what it says.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexSet;
+use futures_util::future;
+use indexmap::{IndexMap, IndexSet};
 
-use super::{cluster, moves, registry, route, signal, store};
+use super::{cluster, journal, moves, registry, relay, route, signal, store};
 
-/// How long the store may hold a read until something has changed.
-const WAIT: Duration = Duration::from_secs(20);
+/// How long the store may hold a read of orders until something has changed.
+const ORDERS_WAIT: Duration = Duration::from_secs(20);
+
+/// How long it may hold a read of the list of upstreams, which also shows that the store is there.
+const UPSTREAMS_WAIT: Duration = Duration::from_secs(1);
 
 /// Pause between two reads of orders: changes in between come in one answer.
 const ORDERS_PAUSE: Duration = Duration::from_millis(150);
@@ -21,6 +26,12 @@
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
+/// How long the store may fail until another host is followed instead.
+const STORE_PATIENCE: Duration = Duration::from_millis(800);
+
+/// How long a provider that failed is passed over.
+const AVOID_TIME: Duration = Duration::from_secs(1);
+
 /// The configuration in force.
 #[derive(Debug, Default)]
 pub struct Book {
@@ -52,11 +63,8 @@
         if known.is_some_and(|known| known >= table.version) {
             return;
         }
-        tracing::info!(
-            event = "config_applied",
-            version = table.version,
-            routes = table.hosts.values().map(Vec::len).sum::<usize>()
-        );
+        let routes: usize = table.hosts.values().map(Vec::len).sum();
+        tracing::info!(event = "config_applied", version = table.version, routes);
         *self.table.borrow_mut() = Some(table);
         self.changed.notify();
     }
@@ -68,6 +76,13 @@
     }
 }
 
+/// Where news come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Provider {
+    Store,
+    Host(SocketAddr),
+}
+
 /// Where news go.
 #[derive(Debug)]
 pub struct Desk {
@@ -79,9 +94,88 @@
     pub moves: Rc<moves::Moves>,
     /// The hosts.
     pub members: Rc<cluster::Members>,
+    orders: journal::Journal,
+    upstreams: journal::Journal,
+    avoided: RefCell<IndexMap<Provider, Instant>>,
 }
 
 impl Desk {
+    /// Nothing known yet, but for the hosts.
+    pub fn new(members: Rc<cluster::Members>) -> Desk {
+        Desk {
+            book: Rc::default(),
+            registry: Rc::default(),
+            moves: Rc::default(),
+            members,
+            orders: journal::Journal::default(),
+            upstreams: journal::Journal::default(),
+            avoided: RefCell::default(),
+        }
+    }
+
+    /// What is known of a part that hosts pass on to each other.
+    pub fn journal(&self, source: store::Source) -> &journal::Journal {
+        match source {
+            store::Source::Upstreams => &self.upstreams,
+            _ => &self.orders,
+        }
+    }
+
+    /// How often something has become known.
+    pub fn changes(&self) -> (u64, u64) {
+        (self.orders.changed.count(), self.upstreams.changed.count())
+    }
+
+    /// Waits until something has become known beyond `seen`, or `limit` has passed.
+    pub async fn changed_within(&self, seen: (u64, u64), limit: Duration) {
+        let orders = std::pin::pin!(self.orders.changed.changed(seen.0));
+        let upstreams = std::pin::pin!(self.upstreams.changed.changed(seen.1));
+        // Both ends mean the same to those who wait: look again.
+        let _ = monoio::time::timeout(limit, future::select(orders, upstreams)).await;
+    }
+
+    /// All of a part, as it is known.
+    pub fn whole(&self, source: store::Source) -> Vec<store::Change> {
+        match source {
+            store::Source::Upstreams => self.registry.listed(),
+            _ => {
+                let config = self.book.table().map(store::Change::Config);
+                let evacuations = self.registry.evacuations().into_iter();
+                let evacuations = evacuations
+                    .map(|data_centre| store::Change::Evacuation { data_centre, ordered: true });
+                let moves = self.moves.orders(Instant::now()).into_iter().map(|known| {
+                    store::Change::Move { service: known.service, order: Some(known.order) }
+                });
+                config.into_iter().chain(evacuations).chain(moves).collect()
+            }
+        }
+    }
+
+    /// Takes in news of a part that hosts pass on to each other.
+    pub fn take(
+        &self,
+        source: store::Source,
+        is_whole: bool,
+        revision: u64,
+        items: Vec<store::Change>,
+        now: Instant,
+    ) {
+        let journal = self.journal(source);
+        if revision < journal.revision() {
+            return;
+        }
+        match is_whole {
+            true => {
+                self.replace(source, items, now);
+                journal.restart(revision);
+            }
+            false => {
+                self.apply(items.clone(), now);
+                journal.add(revision, items);
+            }
+        }
+    }
+
     /// Takes in rows that have changed.
     fn apply(&self, items: Vec<store::Change>, now: Instant) {
         for item in items {
@@ -103,6 +197,8 @@
                 }
                 store::Change::Unreadable { key, findings } => {
                     tracing::warn!(event = "row_unreadable", key = &*key, %findings);
+                    // An entry that can't be read names no upstream.
+                    self.registry.apply(key, None, now);
                 }
             }
         }
@@ -120,14 +216,22 @@
                 self.book.note_upstreams();
             }
             store::Source::Orders => {
-                let ordered: IndexSet<Rc<str>> = items
+                let evacuated: IndexSet<Rc<str>> = items
                     .iter()
                     .filter_map(|item| match item {
                         store::Change::Evacuation { data_centre, .. } => Some(data_centre.clone()),
                         _ => None,
                     })
                     .collect();
-                self.registry.evacuate_only(ordered);
+                self.registry.evacuate_only(evacuated);
+                let ordered: IndexSet<Rc<str>> = items
+                    .iter()
+                    .filter_map(|item| match item {
+                        store::Change::Move { service, .. } => Some(service.clone()),
+                        _ => None,
+                    })
+                    .collect();
+                self.moves.keep_orders(&ordered);
                 self.apply(items, now);
             }
             store::Source::Moves => {
@@ -137,75 +241,136 @@
             store::Source::Hosts => self.apply(items, now),
         }
     }
+
+    fn avoid(&self, provider: Provider, now: Instant) {
+        self.avoided.borrow_mut().insert(provider, now);
+    }
+
+    fn is_avoided(&self, provider: Provider, now: Instant) -> bool {
+        let avoided = self.avoided.borrow();
+        avoided.get(&provider).is_some_and(|&at| now.saturating_duration_since(at) < AVOID_TIME)
+    }
+
+    /// Where to get news from; `None` while everyone has just failed.
+    ///
+    /// Few hosts watch the store, and the others follow these: calls to the store cost the same for
+    /// every host that makes them.
+    fn provider(&self, now: Instant) -> Option<Provider> {
+        let store = (!self.is_avoided(Provider::Store, now)).then_some(Provider::Store);
+        let watchers = self.members.watchers(now);
+        let is_new = relay::SOURCES.iter().any(|&source| self.journal(source).revision() == 0);
+        if is_new && store.is_some() || watchers.is_own {
+            return store.or_else(|| self.host_among(&watchers.others, now));
+        }
+        match watchers.others.is_empty() {
+            true => store,
+            false => self.host_among(&watchers.others, now),
+        }
+    }
+
+    fn host_among(&self, hosts: &[SocketAddr], now: Instant) -> Option<Provider> {
+        let able: Vec<Provider> = hosts.iter().map(|&host| Provider::Host(host)).collect();
+        let able: Vec<Provider> =
+            able.into_iter().filter(|&host| !self.is_avoided(host, now)).collect();
+        fastrand::choice(able)
+    }
 }
 
-/// Reads a part of the store, and then takes in each change.
-pub async fn follow<S>(store: Rc<S>, source: store::Source, desk: Rc<Desk>)
+/// Keeps this host up to date for as long as it runs.
+pub async fn keep<S>(store: Rc<S>, desk: Rc<Desk>)
 where
     S: store::Store,
 {
-    let pause = match source {
-        store::Source::Upstreams => UPSTREAMS_PAUSE,
-        _ => ORDERS_PAUSE,
-    };
-    let mut known = 0;
     loop {
-        let all = read(&*store, source, &desk, known).await;
-        known = all.revision;
-        desk.replace(source, all.items, Instant::now());
-        let mut backoff = FIRST_BACKOFF;
-        loop {
-            match store.follow(source, known, WAIT).await {
-                Ok(changes) => {
-                    backoff = FIRST_BACKOFF;
-                    note_store(&desk, source, true);
-                    known = changes.revision.max(known);
-                    desk.apply(changes.items, Instant::now());
-                    monoio::time::sleep(pause).await;
-                }
-                Err(store::Error::HistoryGone) => {
-                    tracing::info!(event = "history_gone", %source, known);
-                    break;
-                }
-                Err(error) => {
-                    tracing::warn!(event = "store_read_failed", %source, %error);
-                    note_store(&desk, source, false);
-                    monoio::time::sleep(backoff).await;
-                    backoff = (backoff * 2).min(MAX_BACKOFF);
-                }
+        let Some(provider) = desk.provider(Instant::now()) else {
+            monoio::time::sleep(FIRST_BACKOFF).await;
+            continue;
+        };
+        let result = match provider {
+            Provider::Store => watch(&*store, &desk).await,
+            Provider::Host(host) => {
+                let is_enough = || {
+                    let watchers = desk.members.watchers(Instant::now());
+                    watchers.is_own || !watchers.others.contains(&host)
+                };
+                relay::follow(&desk, host, is_enough).await.map_err(|e| e.to_string())
             }
+        };
+        if let Err(error) = result {
+            tracing::warn!(event = "provider_lost", ?provider, error);
+            desk.avoid(provider, Instant::now());
         }
     }
 }
 
-/// Reads a part of the store whole, and takes it in.
-pub async fn read_once<S>(store: &S, source: store::Source, desk: &Desk)
+/// Watches the store until it fails, or others do it.
+async fn watch<S>(store: &S, desk: &Desk) -> Result<(), String>
 where
     S: store::Store,
 {
-    let all = read(store, source, desk, 0).await;
-    desk.replace(source, all.items, Instant::now());
+    let both = relay::SOURCES.map(|source| Box::pin(watch_part(store, source, desk)));
+    let (result, _, _) = future::select_all(both).await;
+    desk.members.set_sees_store(result.is_ok(), Instant::now());
+    if result.is_err() {
+        desk.registry.note_store(false, Instant::now());
+    }
+    result
 }
 
-/// Reads a part of the store whole, however long that takes; a part that is older than what is known
-/// is read again.
-async fn read<S>(store: &S, source: store::Source, desk: &Desk, known: u64) -> store::Changes
+async fn watch_part<S>(store: &S, source: store::Source, desk: &Desk) -> Result<(), String>
 where
     S: store::Store,
 {
+    let (wait, pause) = match source {
+        store::Source::Upstreams => (UPSTREAMS_WAIT, UPSTREAMS_PAUSE),
+        _ => (ORDERS_WAIT, ORDERS_PAUSE),
+    };
+    let journal = desk.journal(source);
+    let mut failing_since = None;
     let mut backoff = FIRST_BACKOFF;
+    let mut is_whole = journal.revision() == 0;
     loop {
-        match store.read(source).await {
-            Ok(all) if all.revision >= known => {
-                note_store(desk, source, true);
-                return all;
+        let asked = Instant::now();
+        let known = journal.revision();
+        let result = match is_whole {
+            true => store.read(source).await,
+            false => store.follow(source, known, wait).await,
+        };
+        let now = Instant::now();
+        match result {
+            Ok(changes) if changes.revision >= known => {
+                desk.take(source, is_whole, changes.revision, changes.items, now);
+                // What has changed since the question may not be among it.
+                journal.confirm(if is_whole { asked } else { now });
+                desk.members.set_sees_store(true, now);
+                if source == store::Source::Upstreams {
+                    desk.registry.note_store(true, now);
+                }
+                (failing_since, backoff, is_whole) = (None, FIRST_BACKOFF, false);
+                if !desk.members.watchers(now).is_own && desk.book.is_complete() {
+                    return Ok(());
+                }
+                monoio::time::sleep(pause).await;
+                continue;
+            }
+            Ok(changes) => {
+                let read = changes.revision;
+                tracing::warn!(event = "store_read_stale", %source, known, read);
             }
-            Ok(all) => {
-                tracing::warn!(event = "store_read_stale", %source, known, read = all.revision);
+            Err(store::Error::HistoryGone) => {
+                tracing::info!(event = "history_gone", %source, known);
+                is_whole = true;
+                continue;
             }
             Err(error) => {
                 tracing::warn!(event = "store_read_failed", %source, %error);
-                note_store(desk, source, false);
+                let since = *failing_since.get_or_insert(now);
+                if now.saturating_duration_since(since) >= STORE_PATIENCE {
+                    return Err(error.to_string());
+                }
+                if source == store::Source::Upstreams {
+                    desk.registry.note_store(false, now);
+                }
             }
         }
         monoio::time::sleep(backoff).await;
@@ -213,8 +378,18 @@
     }
 }
 
-fn note_store(desk: &Desk, source: store::Source, reachable: bool) {
-    if source == store::Source::Upstreams {
-        desk.registry.note_store(reachable, Instant::now());
+/// Reads a part of the store whole, however long that takes, and takes it in.
+pub async fn read_once<S>(store: &S, source: store::Source, desk: &Desk)
+where
+    S: store::Store,
+{
+    let mut backoff = FIRST_BACKOFF;
+    loop {
+        match store.read(source).await {
+            Ok(all) => return desk.replace(source, all.items, Instant::now()),
+            Err(error) => tracing::warn!(event = "store_read_failed", %source, %error),
+        }
+        monoio::time::sleep(backoff).await;
+        backoff = (backoff * 2).min(MAX_BACKOFF);
     }
 }
--- a/crates/basilhaven/src/gateway/probe.rs
+++ b/crates/basilhaven/src/gateway/probe.rs
@@ -108,7 +108,7 @@
         client::read_all(&mut conn, &mut reader, MAX_BODY_LEN).await?;
         let kept = http1::head::keeps_alive(response.parts.version, &response.parts.headers);
         if kept && response.framing != body::Framing::UntilClose && !conn.has_leftover() {
-            *upstream.probe_conn.borrow_mut() = Some(conn);
+            *upstream.probe_conn.borrow_mut() = Some(conn.without_buffer());
         }
         Ok((response.parts.status, response.parts.headers))
     }
--- a/crates/basilhaven/src/gateway/registry.rs
+++ b/crates/basilhaven/src/gateway/registry.rs
@@ -6,7 +6,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::{signal, upstream};
+use super::{signal, store, upstream};
 
 /// How long after the store's return an upstream may be missing from the list: live ones are listed
 /// again within two seconds.
@@ -104,6 +104,22 @@
         self.changed.notify();
     }
 
+    /// The data centres that get nothing.
+    pub fn evacuations(&self) -> Vec<Rc<str>> {
+        self.evacuated.borrow().iter().cloned().collect()
+    }
+
+    /// The list as it is known, without what is missing from it.
+    pub fn listed(&self) -> Vec<store::Change> {
+        let upstreams = self.upstreams.borrow();
+        let listed = upstreams.values().filter(|u| u.gone_since().is_none());
+        let change = |u: &Rc<upstream::Upstream>| store::Change::Upstream {
+            id: Rc::clone(&u.id),
+            entry: Some(u.entry().clone()),
+        };
+        listed.map(change).collect()
+    }
+
     /// Drops upstreams whose entries are missing for good, and idle connections.
     pub fn tidy(&self, now: Instant) {
         let mut upstreams = self.upstreams.borrow_mut();
--- a/crates/basilhaven/src/gateway/route.rs
+++ b/crates/basilhaven/src/gateway/route.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use crate::profile;
 
@@ -12,7 +13,7 @@
 const SPLIT_STEP: f64 = 0.618_033_988_749_895;
 
 /// A service that takes a part of a route's calls.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Part {
     /// The service.
     pub service: Rc<str>,
@@ -21,7 +22,7 @@
 }
 
 /// One route.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Route {
     /// Its name.
     pub name: Rc<str>,
@@ -40,9 +41,15 @@
     /// The services that take its calls.
     pub parts: Vec<Part>,
     /// Where the draws of the split stand.
+    #[serde(skip, default = "random_turn")]
     turn: Cell<f64>,
 }
 
+/// Hosts begin at different places, so that together they keep the weights also over few calls.
+fn random_turn() -> Cell<f64> {
+    Cell::new(fastrand::f64())
+}
+
 impl Route {
     /// A route that sends all calls to one service, for callers to change.
     pub fn new(name: &str, prefix: &str, service: &str) -> Route {
@@ -55,7 +62,7 @@
             target: Duration::from_secs(1),
             rank: 0,
             parts: vec![Part { service: service.into(), weight: 1.0 }],
-            turn: Cell::new(fastrand::f64()),
+            turn: random_turn(),
         }
     }
 
@@ -76,7 +83,7 @@
 }
 
 /// A service as the configuration gives it.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// The path that tells its upstreams' health and load.
     pub health_path: Rc<str>,
@@ -89,7 +96,7 @@
 }
 
 /// What callers may send, and how long they may take.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Limits {
     /// Bytes of a request's head.
     pub max_head_len: usize,
@@ -114,7 +121,7 @@
 }
 
 /// The whole configuration, in one version.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Table {
     /// Its version; higher ones are newer.
     pub version: u64,
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -13,8 +13,8 @@
 use monoio::net::{TcpListener, UnixStream};
 
 use super::{
-    cluster, directory, front, news, place, probe, protocol, registry, retries, settings, steer,
-    store,
+    cluster, directory, front, news, place, probe, protocol, registry, relay, retries, settings,
+    steer, store,
 };
 use crate::{finding, log};
 
@@ -36,8 +36,11 @@
 /// The part of the grace after which a stopping host ends, whatever still runs.
 const END_SHARE: f64 = 0.97;
 
-/// Pauses after a registration with the store that failed.
-const REGISTER_PAUSE: Duration = Duration::from_secs(1);
+/// Pause between two looks whether this host has to tell the store of itself.
+const REGISTER_PAUSE: Duration = Duration::from_secs(2);
+
+/// Pause between two looks of a host that meets no other one.
+const LONELY_PAUSE: Duration = Duration::from_secs(5);
 
 /// Runs a gateway on this thread until it is told to stop.
 ///
@@ -67,6 +70,7 @@
     directory: TcpListener,
     metrics: TcpListener,
     peer: UdpSocket,
+    relay: TcpListener,
 }
 
 fn bind(settings: &settings::Settings) -> Result<Sockets, finding::Findings> {
@@ -80,13 +84,19 @@
     let ready = listen("--ready", settings.ready);
     let directory = listen("--directory", settings.directory);
     let metrics = listen("--metrics", settings.metrics);
+    let relay = listen("--peer", settings.peer);
     let peer = findings.keep(format!("--peer {}", settings.peer), UdpSocket::bind(settings.peer));
-    match (callers, ready, directory, metrics, peer) {
-        (Some(callers), Some(ready), Some(directory), Some(metrics), Some(peer)) => {
-            Ok(Sockets { callers, ready, directory, metrics, peer })
-        }
-        _ => Err(findings),
-    }
+    let sockets = (|| {
+        Some(Sockets {
+            callers: callers?,
+            ready: ready?,
+            directory: directory?,
+            metrics: metrics?,
+            peer: peer?,
+            relay: relay?,
+        })
+    })();
+    sockets.ok_or(findings)
 }
 
 async fn serve<S>(
@@ -105,22 +115,17 @@
         callers: settings.listen,
         data_centre: Rc::clone(&settings.data_centre),
     };
-    let members = Rc::new(cluster::Members::new(&record, Instant::now()));
+    let members = Rc::new(cluster::Members::new(&record, settings.capacity, Instant::now()));
     for seed in &settings.seeds {
         members.add_contact(SocketAddr::new(seed.ip(), settings.peer.port()));
     }
-    let desk = Rc::new(news::Desk {
-        book: Rc::default(),
-        registry: Rc::default(),
-        moves: Rc::default(),
-        members: Rc::clone(&members),
-    });
+    let desk = Rc::new(news::Desk::new(Rc::clone(&members)));
     let front = front(&settings, store.protocol(), &desk);
     let peer = Rc::new(sockets.peer);
     monoio::spawn(cluster::receive(Rc::clone(&desk), Rc::clone(&peer)));
     monoio::spawn(cluster::spread(Rc::clone(&desk), Rc::clone(&peer)));
-    monoio::spawn(news::follow(Rc::clone(&store), store::Source::Orders, Rc::clone(&desk)));
-    monoio::spawn(news::follow(Rc::clone(&store), store::Source::Upstreams, Rc::clone(&desk)));
+    monoio::spawn(news::keep(Rc::clone(&store), Rc::clone(&desk)));
+    monoio::spawn(relay::serve(Rc::clone(&desk), sockets.relay));
     monoio::spawn(register(Rc::clone(&store), record, Rc::clone(&desk)));
     monoio::spawn(steer::watch(Rc::clone(&store), Rc::clone(&desk), Rc::clone(&peer)));
     monoio::spawn(tidy(Rc::clone(&desk.registry)));
@@ -209,16 +214,27 @@
     monoio::spawn(directory::serve(metrics, Rc::new(answer_metrics)));
 }
 
-/// Tells the store of this host, and learns of the others from it.
+/// Tells the store of this host while it is a watcher; a host that meets no other one learns there of
+/// the watchers.
 async fn register<S>(store: Rc<S>, record: cluster::Record, desk: Rc<news::Desk>)
 where
     S: store::Store,
 {
-    while let Err(error) = store.register(&record).await {
-        tracing::warn!(event = "registration_failed", %error);
+    let mut is_told = false;
+    loop {
         monoio::time::sleep(REGISTER_PAUSE).await;
+        let watchers = desk.members.watchers(Instant::now());
+        if watchers.is_own && !is_told {
+            match store.register(&record).await {
+                Ok(()) => is_told = true,
+                Err(error) => tracing::warn!(event = "registration_failed", %error),
+            }
+        }
+        if watchers.others.is_empty() && desk.book.is_complete() {
+            news::read_once(&*store, store::Source::Hosts, &desk).await;
+            monoio::time::sleep(LONELY_PAUSE).await;
+        }
     }
-    news::read_once(&*store, store::Source::Hosts, &desk).await;
 }
 
 async fn tidy(registry: Rc<registry::Registry>) {
--- a/crates/basilhaven/src/gateway/settings.rs
+++ b/crates/basilhaven/src/gateway/settings.rs
@@ -8,6 +8,9 @@
 
 use crate::finding;
 
+/// The capacity of a core: hosts that differ by a twentieth of one are told apart.
+const CAPACITY_PER_CORE: f64 = 20.0;
+
 /// Settings as they were given, not yet checked.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(
@@ -64,6 +67,9 @@
     /// Probes of one upstream a second, over all hosts
     #[bpaf(long, env("BASILHAVEN_PROBE_RATE"), argument("N"), fallback("60".to_owned()))]
     pub probe_rate: String,
+    /// How much this host can carry, in cores
+    #[bpaf(long, env("BASILHAVEN_CORES"), argument("N"), fallback("1".to_owned()))]
+    pub cores: String,
     /// What is logged: error, warn, info or debug; every send is at info
     #[bpaf(long, env("BASILHAVEN_LOG"), argument("LEVEL"), fallback("info".to_owned()))]
     pub log: String,
@@ -104,6 +110,8 @@
     pub exposure_slack: f64,
     /// Probes of one upstream a second, over all hosts.
     pub probe_rate: f64,
+    /// How much this host can carry, compared with other hosts.
+    pub capacity: u8,
     /// What is logged.
     pub log: crate::settings::Level,
 }
@@ -142,6 +150,7 @@
         let exposure_share = number("--exposure-share", &raw.exposure_share);
         let exposure_slack = number("--exposure-slack", &raw.exposure_slack);
         let probe_rate = number("--probe-rate", &raw.probe_rate);
+        let cores = number("--cores", &raw.cores);
         let log = findings.keep("--log", crate::settings::Level::try_from(&*raw.log));
         let settings = (|| {
             Some(Settings {
@@ -161,6 +170,7 @@
                 exposure_share: exposure_share?,
                 exposure_slack: exposure_slack?,
                 probe_rate: probe_rate?,
+                capacity: (cores? * CAPACITY_PER_CORE).clamp(1.0, u8::MAX.into()) as u8,
                 log: log?,
             })
         })();
--- a/crates/basilhaven/src/gateway/steer.rs
+++ b/crates/basilhaven/src/gateway/steer.rs
@@ -8,7 +8,7 @@
 use super::{cluster, moves, news, store};
 
 /// The pause between two looks at the moves.
-const PAUSE: Duration = Duration::from_millis(250);
+const PAUSE: Duration = Duration::from_millis(150);
 
 /// Looks at all moves again and again; steers them where it is this host's turn, and tells what it has
 /// seen to the host whose turn it is where not.
@@ -42,7 +42,7 @@
 where
     S: store::Store,
 {
-    for (service, order, age, step) in desk.moves.orders(Instant::now()) {
+    for moves::Status { service, order, age, step } in desk.moves.orders(Instant::now()) {
         let Some((step, step_age)) = step else {
             write(store, desk, socket, first_step(&service, &order)).await;
             continue;
@@ -76,6 +76,7 @@
         stage: moves::Stage::Trial,
         revision: 0,
         braked: false,
+        order_age_ms: 0,
     }
 }
 
--- a/crates/basilhaven/src/gateway/store.rs
+++ b/crates/basilhaven/src/gateway/store.rs
@@ -6,11 +6,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::{cluster, moves, protocol, route, upstream};
 use crate::finding;
 
 /// A part of the store that can be read whole and followed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, derive_more::Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, derive_more::Display)]
 pub enum Source {
     /// What operators order.
     #[display("orders")]
@@ -27,7 +29,7 @@
 }
 
 /// One row that is there, or has changed; `None` in place of its content says that it is gone.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Change {
     /// The configuration.
     Config(Rc<route::Table>),
--- a/crates/basilhaven/src/gateway/upstream.rs
+++ b/crates/basilhaven/src/gateway/upstream.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 use super::{cold, protocol, signal};
 use crate::http1;
 
@@ -27,7 +29,7 @@
 const SUCCESS_CREDIT: f64 = 0.5;
 
 /// What an upstream says of itself in the store.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     /// The service that it runs.
     pub service: Rc<str>,
@@ -236,7 +238,7 @@
         if idle.len() >= MAX_IDLE {
             idle.remove(0);
         }
-        idle.push(Idle { conn, since: now, keep });
+        idle.push(Idle { conn: conn.without_buffer(), since: now, keep });
     }
 
     /// Closes connections that have been idle for long.
--- a/crates/basilhaven/src/http1/conn.rs
+++ b/crates/basilhaven/src/http1/conn.rs
@@ -46,6 +46,19 @@
         }
     }
 
+    /// The connection with no memory held for reading, for one that will be idle.
+    pub fn without_buffer(mut self) -> Conn {
+        self.release();
+        self
+    }
+
+    /// Gives back the memory held for reading, when nothing unread is in it.
+    pub fn release(&mut self) {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+    }
+
     /// Has the operating system probe a silent connection every `seconds`, and end it after `probes`
     /// without an answer: a connection may go silent for good without a reset.
     ///
--- a/crates/basilhaven/src/log.rs
+++ b/crates/basilhaven/src/log.rs
@@ -6,7 +6,7 @@
 use crate::settings;
 
 /// Lines that may wait for the writer; more are dropped and counted.
-const BUFFERED_LINES: usize = 64 * 1024;
+const BUFFERED_LINES: usize = 4 * 1024;
 
 /// Bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] =
