--- a/crates/basilhaven/src/gateway/news.rs
+++ b/crates/basilhaven/src/gateway/news.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures_util::future;
+use futures_util::future::{self, Either};
 use indexmap::{IndexMap, IndexSet};
 
 use super::{cluster, journal, moves, registry, relay, route, signal, store};
@@ -14,13 +14,13 @@
 const ORDERS_WAIT: Duration = Duration::from_secs(20);
 
 /// How long it may hold a read of the list of upstreams, which also shows that the store is there.
-const UPSTREAMS_WAIT: Duration = Duration::from_secs(1);
+const UPSTREAMS_WAIT: Duration = Duration::from_millis(600);
 
 /// Pause between two reads of orders: changes in between come in one answer.
 const ORDERS_PAUSE: Duration = Duration::from_millis(150);
 
 /// Pause between two reads of the list of upstreams, whose rows change all the time.
-const UPSTREAMS_PAUSE: Duration = Duration::from_millis(700);
+const UPSTREAMS_PAUSE: Duration = Duration::from_millis(600);
 
 /// Pauses after a read that failed: the first, and the longest.
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
@@ -29,8 +29,13 @@
 /// How long the store may fail until another host is followed instead.
 const STORE_PATIENCE: Duration = Duration::from_millis(800);
 
-/// How long a provider that failed is passed over.
+/// How long a provider that failed is passed over: a host, and the store by hosts that watch it and by
+/// the others, whose calls would be many.
 const AVOID_TIME: Duration = Duration::from_secs(1);
+const AVOID_STORE_TIME: Duration = Duration::from_millis(2500);
+
+/// How often a host that watches the store looks whether that has fallen silent.
+const SILENCE_STEP: Duration = Duration::from_millis(200);
 
 /// The configuration in force.
 #[derive(Debug, Default)]
@@ -248,7 +253,11 @@
 
     fn is_avoided(&self, provider: Provider, now: Instant) -> bool {
         let avoided = self.avoided.borrow();
-        avoided.get(&provider).is_some_and(|&at| now.saturating_duration_since(at) < AVOID_TIME)
+        let time = match provider {
+            Provider::Store if !self.members.watchers(now).is_own => AVOID_STORE_TIME,
+            _ => AVOID_TIME,
+        };
+        avoided.get(&provider).is_some_and(|&at| now.saturating_duration_since(at) < time)
     }
 
     /// Where to get news from; `None` while everyone has just failed.
@@ -262,10 +271,7 @@
         if is_new && store.is_some() || watchers.is_own {
             return store.or_else(|| self.host_among(&watchers.others, now));
         }
-        match watchers.others.is_empty() {
-            true => store,
-            false => self.host_among(&watchers.others, now),
-        }
+        self.host_among(&watchers.others, now).or(store)
     }
 
     fn host_among(&self, hosts: &[SocketAddr], now: Instant) -> Option<Provider> {
@@ -309,7 +315,11 @@
     S: store::Store,
 {
     let both = relay::SOURCES.map(|source| Box::pin(watch_part(store, source, desk)));
-    let (result, _, _) = future::select_all(both).await;
+    let silence = std::pin::pin!(await_silence(desk));
+    let result = match future::select(future::select_all(both), silence).await {
+        Either::Left(((result, _, _), _)) => result,
+        Either::Right(_) => Err("the store has fallen silent".to_owned()),
+    };
     desk.members.set_sees_store(result.is_ok(), Instant::now());
     if result.is_err() {
         desk.registry.note_store(false, Instant::now());
@@ -317,6 +327,19 @@
     result
 }
 
+/// Waits until nothing has been heard of the store for too long.
+async fn await_silence(desk: &Desk) {
+    let started = Instant::now();
+    loop {
+        monoio::time::sleep(SILENCE_STEP).await;
+        let now = Instant::now();
+        let age = desk.upstreams.age(now).min(now.saturating_duration_since(started));
+        if age > relay::MAX_AGE {
+            return;
+        }
+    }
+}
+
 async fn watch_part<S>(store: &S, source: store::Source, desk: &Desk) -> Result<(), String>
 where
     S: store::Store,
--- a/crates/basilhaven/src/gateway/relay.rs
+++ b/crates/basilhaven/src/gateway/relay.rs
@@ -17,15 +17,15 @@
 /// How often a host tells how sure it is to have all news.
 const TICK: Duration = Duration::from_millis(400);
 
-/// Silence after which a connection to another host is given up: three ticks.
-const SILENCE: Duration = Duration::from_millis(1200);
+/// Silence after which a connection to another host is given up: more than two ticks.
+const SILENCE: Duration = Duration::from_millis(1000);
 
 /// The longest that opening a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// How long a host may have heard nothing of the store until others are asked instead: a held read is
-/// answered once a second.
-const MAX_AGE: Duration = Duration::from_millis(1800);
+/// How long a host may have heard nothing of the store until others are asked instead: an upstream that
+/// leaves has to be known within two seconds, and half of one is left for asking.
+pub const MAX_AGE: Duration = Duration::from_millis(1400);
 
 /// Bytes of a message; a configuration and a thousand upstreams take a tenth of it.
 const MAX_MESSAGE_LEN: usize = 4 * 1024 * 1024;
