--- a/crates/basilhaven/src/gateway/cluster.rs
+++ b/crates/basilhaven/src/gateway/cluster.rs
@@ -206,10 +206,7 @@
     /// The hosts that watch the store: of those that can read it, the ones that can carry most.
     pub fn watchers(&self, now: Instant) -> Watchers {
         let own = self.own.get().peer();
-        let mut live = self.live(now);
-        live.retain(|pulse| pulse.state != State::Leaving);
-        let place = |pulse: &Pulse| rapidhash::v3::rapidhash_v3(&pulse.address);
-        live.sort_by_key(|p| (!p.sees_store, u8::MAX - p.capacity, place(p), p.peer()));
+        let mut live = self.ranked(now);
         live.truncate(if live.len() > FEW { WATCHERS_AMONG_MANY } else { WATCHERS });
         let mut others: Vec<SocketAddr> = live.iter().map(Pulse::peer).collect();
         others.retain(|peer| *peer != own);
@@ -274,12 +271,22 @@
         }
     }
 
-    /// The host that steers what only one host may; `None` when that is this one.
+    /// The host that steers what only one host may: the first of those that watch the store. `None`
+    /// when that is this one.
     pub fn leader(&self, now: Instant) -> Option<SocketAddr> {
         let own = self.own.get().peer();
-        let live = self.live(now);
-        let ready = live.iter().filter(|p| p.state == State::Ready).map(Pulse::peer);
-        ready.min().filter(|leader| *leader != own)
+        let first = self.ranked(now).first().map(Pulse::peer);
+        first.filter(|leader| *leader != own)
+    }
+
+    /// The hosts that are not stopping: those that can read the store first, then those that can carry
+    /// most.
+    fn ranked(&self, now: Instant) -> Vec<Pulse> {
+        let mut live = self.live(now);
+        live.retain(|pulse| pulse.state != State::Leaving);
+        let place = |pulse: &Pulse| rapidhash::v3::rapidhash_v3(&pulse.address);
+        live.sort_by_key(|p| (!p.sees_store, u8::MAX - p.capacity, place(p), p.peer()));
+        live
     }
 
     /// All other live hosts.
--- a/crates/basilhaven/src/gateway/front.rs
+++ b/crates/basilhaven/src/gateway/front.rs
@@ -328,7 +328,8 @@
         sends += 1;
         let sent = Instant::now();
         let end = attempt::send(call, &lease.upstream, &front.protocol).await;
-        log_send(call, route, table, &lease, &end, sent.elapsed());
+        let waited = sent.saturating_duration_since(started);
+        log_send(call, route, table, &lease, &end, (waited, sent.elapsed()));
         note_version(front, name, route, &lease, &end, sent.elapsed());
         tried.push(Rc::clone(&lease.upstream.id));
         let now = Instant::now();
@@ -420,7 +421,7 @@
     table: &route::Table,
     lease: &place::Lease,
     end: &attempt::End,
-    took: Duration,
+    (waited, took): (Duration, Duration),
 ) {
     let outcome = match end {
         attempt::End::Answered(answer) => answer.status.as_u16().to_string(),
@@ -437,6 +438,7 @@
         cost = lease.cost as f32,
         candidates = lease.candidates,
         report_age_ms = lease.report_age.as_millis() as u64,
+        waited_ms = waited.as_millis() as u64,
         took_ms = took.as_millis() as u64,
         outcome,
     );
--- a/crates/basilhaven/src/gateway/moves.rs
+++ b/crates/basilhaven/src/gateway/moves.rs
@@ -48,16 +48,16 @@
     RolledBack,
 }
 
-/// The part of the calls that goes to the new version in a trial: half of what an unproved version may
-/// get at the least, since evidence arrives with a lag.
-const TRIAL_SHARE: f64 = 0.05;
+/// The part of the calls that goes to the new version in a trial; an unproved version may get a tenth of
+/// the calls until its deadline, and the later steps have their part of that.
+const TRIAL_SHARE: f64 = 0.06;
 
 /// The parts at the steps after it; up to the last one, an unproved version gets less than a tenth of
 /// the calls between order and deadline.
 const RAMP_SHARES: [f64; 3] = [0.1, 0.25, 0.5];
 
 /// When the trial ends, as a part of the move's time: faults that come late have shown by then.
-const TRIAL_END: f64 = 0.5;
+const TRIAL_END: f64 = 0.4;
 
 /// The length of each later stage, as a part of the move's time.
 const STAGE_LENGTH: f64 = 0.06;
