--- a/crates/basilhaven/src/gateway/moves.rs
+++ b/crates/basilhaven/src/gateway/moves.rs
@@ -80,6 +80,9 @@
 const LEAST_TIMED: u32 = 6;
 const SLOW_RATIO: f64 = 2.5;
 
+/// Means below this are taken for equal, in seconds: round trips and probes weigh more.
+const LEAST_SECONDS: f64 = 0.03;
+
 /// Answers of the new version without which a move does not go past its trial.
 const LEAST_TRIED: u32 = 8;
 
@@ -245,7 +248,7 @@
     }
     let (new, old) = (pair.new.mean(), pair.old.mean());
     let timed = pair.new.answers.min(pair.old.answers) >= LEAST_TIMED;
-    if timed && new > SLOW_RATIO * old {
+    if timed && new > SLOW_RATIO * old.max(LEAST_SECONDS) {
         return verdict(Fault::Slow, new, old);
     }
     None
