Place calls that can still be in time before those that are late

Cause: in overload all calls got late together: a late one, worth a tenth, was placed before a fresh one of its rank.

--- a/crates/basilhaven/src/gateway/front.rs
+++ b/crates/basilhaven/src/gateway/front.rs
@@ -35,6 +35,9 @@
 /// A part of the route's target below which no call can be expected to be served.
 const LEAST_TIME_SHARE: f64 = 0.2;
 
+/// The part of a route's target that a call usually takes at an upstream.
+const USUAL_SHARE: f64 = 0.4;
+
 /// What a failed send weighs against an upstream; one that it shed weighs less.
 const FAILURE_WEIGHT: f64 = 1.0;
 const SHED_WEIGHT: f64 = 0.5;
@@ -314,7 +317,13 @@
             break;
         }
         let until = call.until.checked_sub(least).unwrap_or(call.until);
-        let need = place::Need { service: name, rank: route.rank, tried: &tried, until };
+        let need = place::Need {
+            service: name,
+            rank: route.rank,
+            tried: &tried,
+            until,
+            on_time_until: started + route.target.mul_f64(1.0 - USUAL_SHARE),
+        };
         let lease = match front.placer.place(&need, service).await {
             Ok(lease) => lease,
             Err(refusal) => {
--- a/crates/basilhaven/src/gateway/place.rs
+++ b/crates/basilhaven/src/gateway/place.rs
@@ -1,7 +1,6 @@
 //! Finds an upstream for a call: asks some for their load, waits where none has room.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -38,6 +37,8 @@
     pub tried: &'a [Rc<str>],
     /// When the call can no longer be served.
     pub until: Instant,
+    /// When it can no longer be served within its route's target.
+    pub on_time_until: Instant,
 }
 
 /// Why no upstream was found.
@@ -75,7 +76,7 @@
 /// Calls of one service that wait, and what was spent on sending calls again.
 #[derive(Debug)]
 pub struct Desk {
-    waiting: RefCell<BTreeSet<(u32, u64)>>,
+    waiting: RefCell<Vec<Place>>,
     next_ticket: Cell<u64>,
     freed: super::signal::Signal,
     /// Sends beyond the first.
@@ -93,29 +94,49 @@
     }
 }
 
-/// A waiting call's place in the order of ranks.
+/// Where a waiting call stands.
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    rank: u32,
+    number: u64,
+    on_time_until: Instant,
+}
+
+impl Place {
+    /// The order in which calls are placed: those that can still be in time first, since a late answer
+    /// is worth little and a slot that it takes makes the next one late as well.
+    fn order(&self, now: Instant) -> (bool, u32, u64) {
+        (now > self.on_time_until, self.rank, self.number)
+    }
+}
+
+/// A waiting call's place among those that wait.
 struct Ticket<'a> {
     desk: &'a Desk,
-    place: (u32, u64),
+    place: Place,
 }
 
-impl Ticket<'_> {
-    fn new(desk: &Desk, rank: u32) -> Ticket<'_> {
+impl<'a> Ticket<'a> {
+    fn new(desk: &'a Desk, need: &Need<'_>) -> Ticket<'a> {
         let number = desk.next_ticket.get();
         desk.next_ticket.set(number + 1);
-        desk.waiting.borrow_mut().insert((rank, number));
-        Ticket { desk, place: (rank, number) }
+        let place = Place { rank: need.rank, number, on_time_until: need.on_time_until };
+        desk.waiting.borrow_mut().push(place);
+        Ticket { desk, place }
     }
 
     /// Whether few enough calls come before this one.
-    fn may_look(&self) -> bool {
-        self.desk.waiting.borrow().iter().take(LOOKING).any(|place| *place == self.place)
+    fn may_look(&self, now: Instant) -> bool {
+        let own = self.place.order(now);
+        let waiting = self.desk.waiting.borrow();
+        waiting.iter().filter(|place| place.order(now) < own).count() < LOOKING
     }
 }
 
 impl Drop for Ticket<'_> {
     fn drop(&mut self) {
-        self.desk.waiting.borrow_mut().remove(&self.place);
+        let number = self.place.number;
+        self.desk.waiting.borrow_mut().retain(|place| place.number != number);
     }
 }
 
@@ -157,11 +178,11 @@
     /// There is none, or none has room before the call can no longer be served.
     pub async fn place(&self, need: &Need<'_>, service: &route::Service) -> Result<Lease, Refusal> {
         let desk = self.desk(need.service);
-        let ticket = Ticket::new(&desk, need.rank);
+        let ticket = Ticket::new(&desk, need);
         loop {
             let freed = desk.freed.count();
             let mut outcome = Refusal::NoRoom;
-            if ticket.may_look() {
+            if ticket.may_look(Instant::now()) {
                 match self.look(need, service, &desk).await {
                     Ok(lease) => return Ok(lease),
                     Err(refusal) => outcome = refusal,
