Wait for an upstream that makes a call early, as long as one can

Cause: at overload calls were put on upstreams that run four times slower as soon as these had room, and came late whatever happened next, while fast ones became free within some ten milliseconds. How long a call usually takes is learned by route.

--- a/crates/basilhaven/src/gateway/front.rs
+++ b/crates/basilhaven/src/gateway/front.rs
@@ -35,9 +35,6 @@
 /// A part of the route's target below which no call can be expected to be served.
 const LEAST_TIME_SHARE: f64 = 0.2;
 
-/// The part of a route's target that a call usually takes at an upstream.
-const USUAL_SHARE: f64 = 0.4;
-
 /// What a failed send weighs against an upstream; one that it shed weighs less.
 const FAILURE_WEIGHT: f64 = 1.0;
 const SHED_WEIGHT: f64 = 0.5;
@@ -322,7 +319,8 @@
             rank: route.rank,
             tried: &tried,
             until,
-            on_time_until: started + route.target.mul_f64(1.0 - USUAL_SHARE),
+            target_at: started + route.target,
+            usual: desk.usual(route),
         };
         let lease = match front.placer.place(&need, service).await {
             Ok(lease) => lease,
@@ -347,7 +345,10 @@
                 let failed = answer.status.is_server_error();
                 match failed {
                     true => lease.upstream.note_failure(now, FAILURE_WEIGHT),
-                    false => lease.upstream.note_success(now),
+                    false => {
+                        lease.upstream.note_success(now);
+                        desk.note_time(route, lease.cost, sent.elapsed());
+                    }
                 }
                 reply = Reply::Answer(answer);
                 if !failed || call.idempotency == profile::Idempotency::AtMostOnce {
--- a/crates/basilhaven/src/gateway/place.rs
+++ b/crates/basilhaven/src/gateway/place.rs
@@ -37,10 +37,28 @@
     pub tried: &'a [Rc<str>],
     /// When the call can no longer be served.
     pub until: Instant,
-    /// When it can no longer be served within its route's target.
-    pub on_time_until: Instant,
+    /// When its route's target passes.
+    pub target_at: Instant,
+    /// How long such a call takes at an upstream that is idle and as fast as usual.
+    pub usual: Duration,
 }
 
+impl Need<'_> {
+    /// When the call can no longer be served within its route's target.
+    fn on_time_until(&self) -> Instant {
+        self.target_at.checked_sub(self.usual.mul_f64(BEST_COST)).unwrap_or(self.target_at)
+    }
+
+    /// Whether an upstream of this cost is to be taken: one that makes the call late only when no other
+    /// can make it early any more.
+    fn accepts(&self, cost: f64, now: Instant) -> bool {
+        now + self.usual.mul_f64(cost) <= self.target_at || now > self.on_time_until()
+    }
+}
+
+/// The cost of an upstream that is idle and as fast as usual, nearly.
+const BEST_COST: f64 = 1.3;
+
 /// Why no upstream was found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 pub enum Refusal {
@@ -81,8 +99,33 @@
     freed: super::signal::Signal,
     /// Sends beyond the first.
     pub retries: retries::Budget,
+    /// How long calls of each route take at an upstream of cost 1, in seconds.
+    usual: RefCell<IndexMap<Rc<str>, f64>>,
+}
+
+impl Desk {
+    /// How long a call of a route takes at an upstream that is idle and as fast as usual.
+    pub fn usual(&self, route: &route::Route) -> Duration {
+        let known = self.usual.borrow().get(&route.name).copied();
+        let seconds = known.unwrap_or(route.target.as_secs_f64() * FIRST_USUAL_SHARE);
+        Duration::from_secs_f64(seconds)
+    }
+
+    /// Takes in how long a call took at an upstream of some cost.
+    pub fn note_time(&self, route: &route::Route, cost: f64, took: Duration) {
+        let first = route.target.as_secs_f64() * FIRST_USUAL_SHARE;
+        let mut usual = self.usual.borrow_mut();
+        let mean = usual.entry(Rc::clone(&route.name)).or_insert(first);
+        *mean += (took.as_secs_f64() / cost.max(1.0) - *mean) * USUAL_WEIGHT;
+    }
 }
 
+/// The part of a route's target that its calls are taken to need before any was answered.
+const FIRST_USUAL_SHARE: f64 = 0.3;
+
+/// The weight of one call in what is usual for its route.
+const USUAL_WEIGHT: f64 = 0.03;
+
 impl Default for Desk {
     fn default() -> Desk {
         Desk {
@@ -90,6 +133,7 @@
             next_ticket: Cell::default(),
             freed: super::signal::Signal::default(),
             retries: retries::Budget::new(RETRY_WINDOW),
+            usual: RefCell::default(),
         }
     }
 }
@@ -120,7 +164,8 @@
     fn new(desk: &'a Desk, need: &Need<'_>) -> Ticket<'a> {
         let number = desk.next_ticket.get();
         desk.next_ticket.set(number + 1);
-        let place = Place { rank: need.rank, number, on_time_until: need.on_time_until };
+        let on_time_until = need.on_time_until();
+        let place = Place { rank: need.rank, number, on_time_until };
         desk.waiting.borrow_mut().push(place);
         Ticket { desk, place }
     }
@@ -223,6 +268,9 @@
             .collect();
         let candidates = able.len();
         let (chosen, cost) = choice::pick(&able, &self.data_centre, now).ok_or(Refusal::NoRoom)?;
+        if !need.accepts(cost, now) {
+            return Err(Refusal::NoRoom);
+        }
         chosen.start();
         if chosen.warmup.is_cold(now) {
             chosen.warmup.count(
