Take no upstream that can't answer before the caller leaves

Cause: with every upstream slow, calls that had half of their time left were sent where they needed more, ran to their deadline and took the slots of others.

--- a/crates/basilhaven/src/gateway/front.rs
+++ b/crates/basilhaven/src/gateway/front.rs
@@ -319,6 +319,7 @@
             rank: route.rank,
             tried: &tried,
             until,
+            deadline: call.until,
             target_at: started + route.target,
             usual: desk.usual(route),
         };
--- a/crates/basilhaven/src/gateway/place.rs
+++ b/crates/basilhaven/src/gateway/place.rs
@@ -37,6 +37,8 @@
     pub tried: &'a [Rc<str>],
     /// When the call can no longer be served.
     pub until: Instant,
+    /// When its caller stops waiting.
+    pub deadline: Instant,
     /// When its route's target passes.
     pub target_at: Instant,
     /// How long such a call takes at an upstream that is idle and as fast as usual.
@@ -50,9 +52,11 @@
     }
 
     /// Whether an upstream of this cost is to be taken: one that makes the call late only when no other
-    /// can make it early any more.
+    /// can make it early any more, and none that can't answer before the caller has left.
     fn accepts(&self, cost: f64, now: Instant) -> bool {
-        now + self.usual.mul_f64(cost) <= self.target_at || now > self.on_time_until()
+        let answer_at = now + self.usual.mul_f64(cost);
+        let is_late = now > self.on_time_until();
+        answer_at <= self.target_at || is_late && answer_at <= self.deadline
     }
 }
 
