Let a caller whose call was shed come back at once

Cause: with every upstream shedding half of its calls, the retry budget of all hosts is soon spent, and callers came back after 100 ms and were late. Ruled out: lack of room (no call waited). A stopping host ends at 0.9 of the grace: two processes were still there at its end.

--- a/crates/basilhaven/src/gateway/front.rs
+++ b/crates/basilhaven/src/gateway/front.rs
@@ -29,8 +29,10 @@
 /// on its way.
 const STOP_GRACE: Duration = Duration::from_millis(300);
 
-/// The time within which a refused caller may come back, when the load is not expected to last.
+/// When a refused caller may come back: where no upstream had room, and where upstreams shed the call,
+/// each by itself, so that the next one may well take it.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
+const RETRY_AFTER_SHED: Duration = Duration::from_millis(5);
 
 /// A part of the route's target below which no call can be expected to be served.
 const LEAST_TIME_SHARE: f64 = 0.2;
@@ -363,6 +365,9 @@
                     _ => FAILURE_WEIGHT,
                 };
                 lease.upstream.note_failure(now, weight);
+                if matches!(reply, Reply::NotRun(_)) {
+                    reply = Reply::NotRun(RETRY_AFTER_SHED);
+                }
             }
             attempt::End::Unknown(_) => {
                 lease.upstream.note_failure(now, FAILURE_WEIGHT);
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -34,7 +34,7 @@
 const SERVE_SHARE: f64 = 0.7;
 
 /// The part of the grace after which a stopping host ends, whatever still runs.
-const END_SHARE: f64 = 0.97;
+const END_SHARE: f64 = 0.9;
 
 /// Pause between two looks whether this host has to tell the store of itself.
 const REGISTER_PAUSE: Duration = Duration::from_secs(2);
