Have the cost of an upstream follow its knee

Cause: the cost rose evenly with the slots in use, while an upstream that is more than 0.8 full takes 1.7 times as long for every call and a half full one hardly longer.

--- a/crates/basilhaven/src/gateway/choice.rs
+++ b/crates/basilhaven/src/gateway/choice.rs
@@ -13,7 +13,11 @@
 pub const MAX_REPORT_AGE: Duration = Duration::from_millis(150);
 
 /// What a full set of slots adds to the time of a call, as a part of it.
-const OCCUPANCY_COST: f64 = 0.8;
+const OCCUPANCY_COST: f64 = 0.3;
+
+/// The part of its slots beyond which an upstream takes longer for every call, and by how much.
+const CROWDED: f64 = 0.8;
+const CROWDED_COST: f64 = 1.7;
 
 /// What each set of slots beyond the first adds.
 const EXCESS_COST: f64 = 3.0;
@@ -34,7 +38,8 @@
     let slots = f64::from(upstream.slots());
     let after = f64::from(upstream.occupancy() + 1);
     let excess = (after - slots).max(0.0);
-    let busy = 1.0 + OCCUPANCY_COST * after / slots + EXCESS_COST * excess / slots;
+    let crowded = if after > slots * CROWDED { CROWDED_COST } else { 1.0 };
+    let busy = crowded * (1.0 + OCCUPANCY_COST * after / slots) + EXCESS_COST * excess / slots;
     let remote = if &*upstream.entry().data_centre == data_centre { 0.0 } else { REMOTE_COST };
     slowdown * busy + remote + FAILURE_COST * upstream.failures(now)
 }
