--- a/crates/basilhaven/src/gateway/moves.rs
+++ b/crates/basilhaven/src/gateway/moves.rs
@@ -73,8 +73,10 @@
 const FAILED_RATIO: f64 = 3.0;
 const FAILED_EXCESS: f64 = 3.0;
 
-/// Answers, one of them failed, that are assumed of the old version before any was seen.
-const PRIOR_ANSWERS: f64 = 100.0;
+/// Answers, and failed ones among them, that are assumed of the old version before any was seen. They
+/// weigh little: routes on which every call fails, whatever the version, get few calls.
+const PRIOR_ANSWERS: f64 = 10.0;
+const PRIOR_FAILED: f64 = 0.3;
 
 /// Answers from which a version can be judged by its times, and the ratio of means that is too high.
 const LEAST_TIMED: u32 = 6;
@@ -240,7 +242,8 @@
 fn judge_route(route: &Rc<str>, pair: &Pair) -> Option<Verdict> {
     let (new, old) = (pair.new.failed_share(), pair.old.failed_share());
     let verdict = |fault, new, old| Some(Verdict { fault, route: Rc::clone(route), new, old });
-    let prior = (f64::from(pair.old.failed) + 1.0) / (f64::from(pair.old.answers) + PRIOR_ANSWERS);
+    let prior =
+        (f64::from(pair.old.failed) + PRIOR_FAILED) / (f64::from(pair.old.answers) + PRIOR_ANSWERS);
     let expected = prior * f64::from(pair.new.answers);
     let failed = f64::from(pair.new.failed);
     if pair.new.failed >= LEAST_FAILURES && failed > FAILED_RATIO * expected + FAILED_EXCESS {
