Test the gateway as real processes between stand-ins of the users' store and upstreams

Found by them, and mended: an answer in flight when a host is told to stop did not say that the connection closes; calls that began and ended since a load report still counted as held, so that an upstream looked full (4 of 20 calls went to one that was four times slower).

--- a/crates/basilhaven-bench/src/process.rs
+++ b/crates/basilhaven-bench/src/process.rs
@@ -35,6 +35,20 @@
     ///
     /// It can't be started, ends early, or never gets ready.
     pub async fn start(program: &Path, args: &[String], env: &[(&str, &str)]) -> Process {
+        Process::start_until(program, args, env, "ready").await
+    }
+
+    /// Starts a program, and waits for a line of this event, whose fields [`ready`](Process::ready) gives.
+    ///
+    /// # Panics
+    ///
+    /// It can't be started, ends early, or never prints such a line.
+    pub async fn start_until(
+        program: &Path,
+        args: &[String],
+        env: &[(&str, &str)],
+        event: &str,
+    ) -> Process {
         let output = temporary_file("out");
         let file = std::fs::File::create(&output).expect("a temporary file");
         let mut command = Command::new(program);
@@ -53,14 +67,14 @@
             .spawn()
             .expect("a program that was built");
         let mut process = Process { child, output, ready: serde_json::Value::Null };
-        process.wait_until_ready(program).await;
+        process.wait_until_ready(program, event).await;
         process
     }
 
-    async fn wait_until_ready(&mut self, program: &Path) {
+    async fn wait_until_ready(&mut self, program: &Path, event: &str) {
         let until = Instant::now() + READY_TIMEOUT;
         loop {
-            let ready = self.lines().into_iter().find(|line| line["event"] == "ready");
+            let ready = self.lines().into_iter().find(|line| line["event"] == event);
             if let Some(ready) = ready {
                 self.ready = ready;
                 return;
@@ -139,6 +153,7 @@
             Signal::Stop => "-STOP",
             Signal::Continue => "-CONT",
             Signal::Kill => "-KILL",
+            Signal::Reload => "-HUP",
         };
         let status = Command::new("kill").args([name, &self.id().to_string()]).status();
         assert!(status.is_ok_and(|s| s.success()), "no signal could be sent");
@@ -174,6 +189,8 @@
     Continue,
     /// Ends it at once.
     Kill,
+    /// Tells it that its settings have changed.
+    Reload,
 }
 
 impl Drop for Process {
--- a/crates/basilhaven-bench/src/standin/mod.rs
+++ b/crates/basilhaven-bench/src/standin/mod.rs
@@ -12,6 +12,7 @@
 pub mod relay;
 pub mod steerer;
 pub mod upstream;
+pub mod users;
 
 /// Prints the line by which a stand-in says that it is ready, and where.
 pub fn print_ready(address: SocketAddr) {
--- /dev/null
+++ b/crates/basilhaven-bench/src/standin/users/store.rs
@@ -0,0 +1,284 @@
+//! The store of the users' platform: tables of rows, transactions under conditions, and a feed.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use serde_with::base64::Base64;
+use serde_with::serde_as;
+
+use super::{read_request, write_response, Request};
+
+/// How the store meets calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// It serves them.
+    Up,
+    /// It refuses them: nothing is done.
+    Down,
+    /// It does not answer.
+    Silent,
+    /// It does what it is asked and does not answer.
+    LosesAnswers,
+}
+
+#[serde_as]
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Row {
+    #[serde(rename = "Table")]
+    table: String,
+    #[serde(rename = "part", default)]
+    part: String,
+    #[serde(rename = "Key")]
+    key: String,
+    #[serde_as(as = "Option<Base64>")]
+    #[serde(rename = "Value", default, skip_serializing_if = "Option::is_none")]
+    value: Option<Vec<u8>>,
+    #[serde(rename = "Ver", default)]
+    revision: u64,
+    #[serde(rename = "Removed", default, skip_serializing_if = "std::ops::Not::not")]
+    removed: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct Transaction {
+    #[serde(rename = "Expected", default)]
+    expected: Vec<Row>,
+    #[serde(rename = "Writes", default)]
+    writes: Vec<Row>,
+    #[serde(rename = "Remove", default)]
+    remove: Vec<Row>,
+}
+
+#[derive(Debug)]
+struct State {
+    rows: BTreeMap<(String, String), Row>,
+    log: Vec<Row>,
+    revision: u64,
+    history_since: u64,
+    mode: Mode,
+    calls: u64,
+}
+
+impl State {
+    fn write(&mut self, row: Row) {
+        let row = Row { revision: self.revision, ..row };
+        let key = (row.table.clone(), row.key.clone());
+        match row.removed {
+            true => self.rows.remove(&key),
+            false => self.rows.insert(key, row.clone()),
+        };
+        self.log.push(row);
+    }
+
+    fn commit(&mut self, transaction: Transaction) -> Result<u64, ()> {
+        let holds = |row: &Row| {
+            let known = self.rows.get(&(row.table.clone(), row.key.clone()));
+            known.map_or(0, |known| known.revision) == row.revision
+        };
+        if !transaction.expected.iter().all(holds) {
+            return Err(());
+        }
+        self.revision += 1;
+        transaction.writes.into_iter().for_each(|row| self.write(row));
+        let removed = transaction.remove.into_iter().map(|row| Row { removed: true, ..row });
+        removed.for_each(|row| self.write(row));
+        Ok(self.revision)
+    }
+
+    fn page(&self, rows: Vec<&Row>, more: bool) -> Vec<u8> {
+        let page = serde_json::json!({
+            "Rows": rows, "MorePages": more, "Ver": self.revision, "NowS": 1.0,
+        });
+        page.to_string().into_bytes()
+    }
+}
+
+/// The store; its threads end with the process.
+#[derive(Debug, Clone)]
+pub struct Store {
+    address: SocketAddr,
+    state: Arc<(Mutex<State>, Condvar)>,
+}
+
+impl Store {
+    /// Starts an empty store.
+    ///
+    /// # Panics
+    ///
+    /// No port is free.
+    pub fn start() -> Store {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let state = State {
+            rows: BTreeMap::new(),
+            log: Vec::new(),
+            revision: 1,
+            history_since: 0,
+            mode: Mode::Up,
+            calls: 0,
+        };
+        let store = Store {
+            address: listener.local_addr().expect("a bound socket"),
+            state: Arc::new((Mutex::new(state), Condvar::new())),
+        };
+        let served = store.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = served.clone();
+                // A connection that fails has ended; its client opens another one.
+                std::thread::spawn(move || store.serve(stream));
+            }
+        });
+        store
+    }
+
+    /// Where it takes calls.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.0.lock().expect("no thread panics while it holds the state")
+    }
+
+    /// Writes a row.
+    pub fn put(&self, table: &str, key: &str, value: &str) {
+        let row = Row {
+            table: table.to_owned(),
+            part: String::new(),
+            key: key.to_owned(),
+            value: Some(value.as_bytes().to_vec()),
+            revision: 0,
+            removed: false,
+        };
+        let mut state = self.lock();
+        state.revision += 1;
+        state.write(row);
+        self.state.1.notify_all();
+    }
+
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut state = self.lock();
+        state.revision += 1;
+        let row = Row {
+            table: table.to_owned(),
+            part: String::new(),
+            key: key.to_owned(),
+            value: None,
+            revision: 0,
+            removed: true,
+        };
+        state.write(row);
+        self.state.1.notify_all();
+    }
+
+    /// The content of a row.
+    pub fn get(&self, table: &str, key: &str) -> Option<String> {
+        let state = self.lock();
+        let row = state.rows.get(&(table.to_owned(), key.to_owned()))?;
+        String::from_utf8(row.value.clone()?).ok()
+    }
+
+    /// Changes how it meets calls from now on.
+    pub fn set_mode(&self, mode: Mode) {
+        self.lock().mode = mode;
+        self.state.1.notify_all();
+    }
+
+    /// Forgets all changes so far, though not what they led to.
+    pub fn drop_history(&self) {
+        let mut state = self.lock();
+        state.log.clear();
+        state.history_since = state.revision;
+    }
+
+    /// Calls that have come so far.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        while let Some(request) = read_request(&mut stream)? {
+            let mode = {
+                let mut state = self.lock();
+                state.calls += 1;
+                state.mode
+            };
+            match mode {
+                Mode::Up => {
+                    let (status, body) = self.answer(&request);
+                    write_response(&mut stream, status, &[], &body)?;
+                }
+                Mode::Down => write_response(&mut stream, 503, &[], b"")?,
+                Mode::Silent => std::thread::sleep(Duration::from_secs(3600)),
+                Mode::LosesAnswers => {
+                    self.answer(&request);
+                    return Ok(());
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn answer(&self, request: &Request) -> (u16, Vec<u8>) {
+        match request.path() {
+            "/rows-tx" => self.transact(&request.body),
+            "/rows-get" => (200, self.read(request)),
+            "/rows-feed" => self.feed(request),
+            _ => (404, Vec::new()),
+        }
+    }
+
+    fn transact(&self, body: &[u8]) -> (u16, Vec<u8>) {
+        let Ok(transaction) = serde_json::from_slice(body) else { return (400, Vec::new()) };
+        let result = self.lock().commit(transaction);
+        self.state.1.notify_all();
+        match result {
+            Ok(revision) => {
+                (200, serde_json::json!({"Ver": revision, "NowS": 1.0}).to_string().into())
+            }
+            Err(()) => (412, self.lock().page(Vec::new(), false)),
+        }
+    }
+
+    fn read(&self, request: &Request) -> Vec<u8> {
+        let table = request.parameter("Table").unwrap_or_default();
+        let from = request.parameter("From").unwrap_or_default().replace("%00", "\0");
+        let limit = request.parameter("Limit").and_then(|l| l.parse().ok()).unwrap_or(500);
+        let state = self.lock();
+        let rows = state.rows.values().filter(|row| row.table == table && *row.key >= *from);
+        let mut rows: Vec<&Row> = rows.take(limit + 1).collect();
+        let more = rows.len() > limit;
+        rows.truncate(limit);
+        state.page(rows, more)
+    }
+
+    fn feed(&self, request: &Request) -> (u16, Vec<u8>) {
+        let number = |name| request.parameter(name).and_then(|n: &str| n.parse().ok()).unwrap_or(0);
+        let table = request.parameter("Table").unwrap_or_default();
+        let (after, until) =
+            (number("after"), Instant::now() + Duration::from_millis(number("WaitMs")));
+        let mut state = self.lock();
+        loop {
+            if state.mode != Mode::Up {
+                return (503, Vec::new());
+            }
+            if after < state.history_since {
+                return (410, Vec::new());
+            }
+            let changed = state.log.iter().filter(|row| row.table == table && row.revision > after);
+            let changed: Vec<&Row> = changed.collect();
+            let left = until.saturating_duration_since(Instant::now());
+            if !changed.is_empty() || left.is_zero() {
+                return (200, state.page(changed, false));
+            }
+            let waited = self.state.1.wait_timeout(state, left);
+            state = waited.expect("no thread panics while it holds the state").0;
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilhaven-bench/src/standin/users/upstream.rs
@@ -0,0 +1,203 @@
+//! An upstream of the users' platform, with faults that can be switched on.
+
+use std::io::{self, Write as _};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use super::{read_request, write_response, Request};
+
+/// The header field that carries the id of a caller's attempt.
+const REQUEST_ID: &str = "x-basilhaven-request-id";
+
+/// What an upstream does with the calls that it gets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Behaviour {
+    /// It runs them and answers after a while.
+    Serves(Duration),
+    /// It runs them and closes the connection without an answer.
+    LosesAnswers,
+    /// It runs them and breaks off in the middle of the body.
+    CutsAnswers,
+    /// It runs them and sends each answer twice.
+    AnswersTwice,
+    /// It runs them and answers without the mark of its answers.
+    OmitsSignature,
+    /// It runs them and fails.
+    Fails,
+    /// It refuses them and runs nothing.
+    Sheds,
+    /// It says that it is another upstream, and runs nothing.
+    IsAnother,
+    /// It runs them and never answers.
+    Hangs,
+}
+
+#[derive(Debug)]
+struct State {
+    behaviour: Behaviour,
+    healthy: bool,
+    load: String,
+    ran: Vec<(String, Request)>,
+    cancelled: usize,
+}
+
+/// The upstream; its threads end with the process.
+#[derive(Debug, Clone)]
+pub struct Upstream {
+    /// Its id.
+    pub id: String,
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl Upstream {
+    /// Starts an upstream.
+    ///
+    /// # Panics
+    ///
+    /// No port is free.
+    pub fn start(id: &str, behaviour: Behaviour) -> Upstream {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let state = State {
+            behaviour,
+            healthy: true,
+            load: "0,0,4,100".to_owned(),
+            ran: Vec::new(),
+            cancelled: 0,
+        };
+        let upstream = Upstream {
+            id: id.to_owned(),
+            address: listener.local_addr().expect("a bound socket"),
+            state: Arc::new(Mutex::new(state)),
+        };
+        let served = upstream.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let upstream = served.clone();
+                // A connection that fails has ended; its client opens another one.
+                std::thread::spawn(move || upstream.serve(stream));
+            }
+        });
+        upstream
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics while it holds the state")
+    }
+
+    /// What it writes of itself in the store, for a service, version and state.
+    pub fn entry(&self, service: &str, version: &str, state: &str) -> String {
+        let entry = serde_json::json!({
+            "Service": service, "Address": self.address, "Zone": "a", "Version": version,
+            "Slots": 4, "State": state, "ColdRemainingS": 0, "Seq": 1, "born": 1,
+        });
+        entry.to_string()
+    }
+
+    /// Changes what it does with calls from now on.
+    pub fn set(&self, behaviour: Behaviour) {
+        self.lock().behaviour = behaviour;
+    }
+
+    /// Changes what its health check says.
+    pub fn set_healthy(&self, healthy: bool) {
+        self.lock().healthy = healthy;
+    }
+
+    /// Changes the load that it tells: running, waiting, slots, percent.
+    pub fn set_load(&self, load: &str) {
+        load.clone_into(&mut self.lock().load);
+    }
+
+    /// The calls that it has run, by the ids of the callers' attempts.
+    pub fn ran(&self) -> Vec<String> {
+        self.lock().ran.iter().map(|(id, _)| id.clone()).collect()
+    }
+
+    /// The requests that it has run.
+    pub fn requests(&self) -> Vec<Request> {
+        self.lock().ran.iter().map(|(_, request)| request.clone()).collect()
+    }
+
+    /// Calls whose connections were closed while it worked on them.
+    pub fn cancelled(&self) -> usize {
+        self.lock().cancelled
+    }
+
+    fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        while let Some(request) = read_request(&mut stream)? {
+            if request.path() == "/healthz" {
+                let (status, load) = {
+                    let state = self.lock();
+                    (if state.healthy { 200 } else { 503 }, state.load.clone())
+                };
+                let headers = [
+                    ("x-basilhaven-instance-id", &*self.id),
+                    ("x-basilhaven-backend-load", &*load),
+                ];
+                write_response(&mut stream, status, &headers, b"")?;
+            } else if !self.take(&mut stream, request)? {
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
+    /// Meets a call; tells whether the connection stays open.
+    fn take(&self, stream: &mut TcpStream, request: Request) -> io::Result<bool> {
+        let id = request.header(REQUEST_ID).unwrap_or_default().to_owned();
+        let behaviour = self.lock().behaviour;
+        match behaviour {
+            Behaviour::Sheds => {
+                let headers = [("x-basilhaven-not-executed", "1"), (REQUEST_ID, &*id)];
+                write_response(stream, 503, &headers, b"")?;
+                return Ok(true);
+            }
+            Behaviour::IsAnother => {
+                write_response(stream, 421, &[(REQUEST_ID, &*id)], b"")?;
+                return Ok(true);
+            }
+            _ => self.lock().ran.push((id.clone(), request)),
+        }
+        let signed = [(REQUEST_ID, &*id), ("x-basilhaven-server-signature", "s.1")];
+        let body = format!("{id} by {}", self.id).into_bytes();
+        match behaviour {
+            Behaviour::LosesAnswers => return Ok(false),
+            Behaviour::CutsAnswers => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n{REQUEST_ID}: {id}\r\n\
+                     x-basilhaven-server-signature: s.1\r\n\r\nhalf"
+                );
+                stream.write_all(head.as_bytes())?;
+                return Ok(false);
+            }
+            Behaviour::AnswersTwice => {
+                write_response(stream, 200, &signed, &body)?;
+                write_response(stream, 200, &signed, &body)?;
+            }
+            Behaviour::OmitsSignature => {
+                write_response(stream, 200, &[(REQUEST_ID, &*id)], &body)?;
+            }
+            Behaviour::Fails => write_response(stream, 500, &signed, b"failed")?,
+            Behaviour::Hangs => {
+                self.await_close(stream)?;
+                return Ok(false);
+            }
+            Behaviour::Serves(time) => {
+                std::thread::sleep(time);
+                write_response(stream, 200, &signed, &body)?;
+            }
+            Behaviour::Sheds | Behaviour::IsAnother => {}
+        }
+        Ok(true)
+    }
+
+    fn await_close(&self, stream: &mut TcpStream) -> io::Result<()> {
+        use std::io::Read as _;
+        let ended = matches!(stream.read(&mut [0]), Ok(0) | Err(_));
+        self.lock().cancelled += usize::from(ended);
+        stream.shutdown(Shutdown::Both)
+    }
+}
--- /dev/null
+++ b/crates/basilhaven-bench/tests/gateway/answers.rs
@@ -0,0 +1,180 @@
+//! Each caller gets the right and whole answer, and a call that may not be repeated runs once.
+
+use std::time::{Duration, Instant};
+
+use basilhaven_bench::standin::block_on;
+use basilhaven_bench::standin::users::upstream::Behaviour;
+
+use crate::world::{receive, send, wait_until, World, PROMPT};
+
+#[test]
+fn a_call_reaches_an_upstream_with_its_id_and_the_time_that_is_left() {
+    block_on(async {
+        let world = World::start(&[PROMPT]).await;
+        let answer = world.host.call("GET", "/safe/1?x=2", "id-1").unwrap();
+        assert_eq!((answer.status, &*answer.body), (200, "id-1 by i-0"));
+        assert!(answer.head.contains("x-basilhaven-server-signature: s.1"));
+        let request = &world.upstreams[0].requests()[0];
+        assert_eq!(request.target, "/safe/1?x=2");
+        assert_eq!(request.header("x-basilhaven-expected-instance"), Some("i-0"));
+        let left: u64 = request.header("x-basilhaven-deadline-ms").unwrap().parse().unwrap();
+        assert!(left <= 2000, "{left} ms were handed on of 2000");
+    });
+}
+
+#[test]
+fn a_path_without_a_route_is_not_found() {
+    block_on(async {
+        let world = World::start(&[PROMPT]).await;
+        assert_eq!(world.host.call("GET", "/elsewhere/1", "id-1").unwrap().status, 404);
+        assert_eq!(world.runs_of("id-1"), 0);
+    });
+}
+
+#[test]
+fn a_call_that_may_not_be_repeated_is_not_sent_again_after_a_lost_answer() {
+    block_on(async {
+        let world = World::start(&[Behaviour::LosesAnswers, Behaviour::LosesAnswers]).await;
+        for number in 0..5 {
+            let id = format!("id-{number}");
+            let answer = world.host.call("POST", "/unsafe/1", &id).unwrap();
+            assert_eq!((answer.status, world.runs_of(&id)), (502, 1));
+        }
+    });
+}
+
+#[test]
+fn a_safe_call_is_sent_again_after_a_lost_answer() {
+    block_on(async {
+        let world = World::start(&[Behaviour::LosesAnswers, PROMPT]).await;
+        let answers =
+            (0..4).map(|n| world.host.call("GET", "/safe/1", &format!("id-{n}")).unwrap());
+        assert!(answers.map(|answer| answer.status).all(|status| status == 200));
+    });
+}
+
+#[test]
+fn a_safe_call_is_sent_to_no_more_upstreams_than_its_route_allows() {
+    block_on(async {
+        let world = World::start(&[Behaviour::Fails; 3]).await;
+        let answer = world.host.call("GET", "/safe/1", "id-1").unwrap();
+        assert_eq!((answer.status, &*answer.body), (500, "failed"));
+        assert_eq!(world.runs_of("id-1"), 2);
+    });
+}
+
+#[test]
+fn an_answer_that_is_cut_short_never_looks_whole() {
+    block_on(async {
+        let world = World::start(&[Behaviour::CutsAnswers]).await;
+        let answer = world.host.call("POST", "/unsafe/1", "id-1").unwrap();
+        assert_eq!((answer.status, world.runs_of("id-1")), (502, 1));
+    });
+}
+
+#[test]
+fn a_success_without_the_upstreams_mark_is_no_success() {
+    block_on(async {
+        let world = World::start(&[Behaviour::OmitsSignature]).await;
+        let answer = world.host.call("POST", "/unsafe/1", "id-1").unwrap();
+        assert_eq!(answer.status, 502);
+    });
+}
+
+#[test]
+fn a_second_answer_is_given_to_no_other_caller() {
+    block_on(async {
+        let world = World::start(&[Behaviour::AnswersTwice]).await;
+        for number in 0..20 {
+            let id = format!("id-{number}");
+            let answer = world.host.call("GET", "/safe/1", &id).unwrap();
+            assert_eq!((answer.status, answer.body), (200, format!("{id} by i-0")));
+        }
+    });
+}
+
+#[test]
+fn a_refusal_says_that_the_call_did_not_run_and_when_to_come_back() {
+    block_on(async {
+        let world = World::start(&[Behaviour::Sheds, Behaviour::IsAnother]).await;
+        let answer = world.host.call("POST", "/unsafe/1", "id-1").unwrap();
+        assert_eq!((answer.status, world.runs_of("id-1")), (503, 0));
+        assert!(answer.head.contains("retry-after: 0."), "{}", answer.head);
+    });
+}
+
+#[test]
+fn a_call_that_another_upstream_shed_is_answered_by_the_next() {
+    block_on(async {
+        let world = World::start(&[Behaviour::Sheds, PROMPT]).await;
+        for number in 0..4 {
+            let answer = world.host.call("POST", "/unsafe/1", &format!("id-{number}")).unwrap();
+            assert_eq!(answer.status, 200);
+        }
+    });
+}
+
+#[test]
+fn a_refusal_after_a_run_that_may_have_been_is_not_called_one() {
+    block_on(async {
+        let world = World::start(&[Behaviour::LosesAnswers, Behaviour::Sheds]).await;
+        for number in 0..6 {
+            let id = format!("id-{number}");
+            let status = world.host.call("GET", "/safe/1", &id).unwrap().status;
+            let ran = world.runs_of(&id) > 0;
+            assert!(!(ran && status == 503), "503 for a call that ran");
+        }
+    });
+}
+
+#[test]
+fn a_safe_call_ends_at_its_upstream_when_its_caller_leaves() {
+    block_on(async {
+        let world = World::start(&[Behaviour::Hangs]).await;
+        let mut caller = world.host.open().unwrap();
+        send(&mut caller, "GET", "/safe/1", "id-1", 2000).unwrap();
+        wait_until("the call runs", || world.runs_of("id-1") == 1).await;
+        let left = Instant::now();
+        drop(caller);
+        wait_until("the call is cancelled", || world.upstreams[0].cancelled() == 1).await;
+        assert!(left.elapsed() < Duration::from_millis(500));
+    });
+}
+
+#[test]
+fn a_call_without_an_answer_ends_at_the_routes_time_limit() {
+    block_on(async {
+        let world = World::start(&[Behaviour::Hangs]).await;
+        let mut caller = world.host.open().unwrap();
+        let sent = Instant::now();
+        send(&mut caller, "POST", "/unsafe/1", "id-1", 60_000).unwrap();
+        let answer = receive(&mut caller).unwrap();
+        assert!(matches!(answer.status, 502 | 504), "status {}", answer.status);
+        let took = sent.elapsed();
+        assert!(took < Duration::from_millis(2500), "{took:?} for a limit of 2 s");
+    });
+}
+
+#[test]
+fn a_slow_upstream_is_passed_over() {
+    block_on(async {
+        let world = World::start(&[PROMPT, PROMPT]).await;
+        world.upstreams[0].set_load("0,0,4,400");
+        for number in 0..20 {
+            world.host.call("GET", "/safe/1", &format!("id-{number}")).unwrap();
+        }
+        assert_eq!(world.upstreams[0].ran().len(), 0);
+    });
+}
+
+#[test]
+fn a_full_upstream_gets_nothing_and_the_caller_is_refused() {
+    block_on(async {
+        let world = World::start(&[PROMPT]).await;
+        world.upstreams[0].set_load("4,2,4,100");
+        let mut caller = world.host.open().unwrap();
+        send(&mut caller, "POST", "/unsafe/1", "id-1", 400).unwrap();
+        let answer = receive(&mut caller).unwrap();
+        assert_eq!((answer.status, world.runs_of("id-1")), (503, 0));
+    });
+}
--- /dev/null
+++ b/crates/basilhaven-bench/tests/gateway/hosts.rs
@@ -0,0 +1,175 @@
+//! Hosts together: start, directory, news from each other, and the end of one.
+
+use std::io::Read as _;
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+use basilhaven_bench::process::Signal;
+use basilhaven_bench::standin::block_on;
+use basilhaven_bench::standin::users::store::{Mode, Store};
+use basilhaven_bench::standin::users::upstream::{Behaviour, Upstream};
+
+use crate::world::{
+    config, free_peer_port, receive, send, wait_until, Host, World, PROMPT, SERVICE,
+};
+
+async fn start_three(store: &Store, last: u8) -> Vec<Host> {
+    let ips: Vec<Ipv4Addr> = (1..=3).map(|n| Ipv4Addr::new(127, 0, last, n)).collect();
+    let port = free_peer_port(&ips);
+    let seeds = format!("{}:1,{}:1", ips[0], ips[1]);
+    let mut hosts = Vec::new();
+    for ip in ips {
+        hosts.push(Host::start(store, ip, port, &seeds).await);
+    }
+    for host in &hosts {
+        wait_until("the host is ready", || host.is_ready()).await;
+        wait_until("the directory names all hosts", || host.resolve().len() == 3).await;
+    }
+    hosts
+}
+
+#[test]
+fn a_host_without_a_configuration_refuses_and_is_not_ready() {
+    block_on(async {
+        let store = Store::start();
+        store.set_mode(Mode::Down);
+        let host = Host::start(&store, Ipv4Addr::LOCALHOST, 0, "").await;
+        assert!(!host.is_ready());
+        assert_eq!(host.call("GET", "/safe/1", "id-1").unwrap().status, 503);
+        store.set_mode(Mode::Up);
+        store.put("op", "config", &config(1, SERVICE));
+        wait_until("the host is ready", || host.is_ready()).await;
+    });
+}
+
+#[test]
+fn hosts_find_each_other_and_drop_one_that_was_killed() {
+    block_on(async {
+        let store = Store::start();
+        store.put("op", "config", &config(1, SERVICE));
+        let hosts = start_three(&store, 11).await;
+        let killed = Instant::now();
+        hosts[2].process.signal(Signal::Kill);
+        wait_until("the directory drops it", || hosts[0].resolve().len() == 2).await;
+        let took = killed.elapsed();
+        assert!(took < Duration::from_secs(6), "{took:?} until a dead host was dropped");
+        assert!(!hosts[0].resolve().contains(&hosts[2].callers));
+    });
+}
+
+#[test]
+fn a_new_configuration_reaches_hosts_that_do_not_watch_the_store() {
+    block_on(async {
+        let store = Store::start();
+        store.put("op", "config", &config(1, SERVICE));
+        let hosts = start_three(&store, 12).await;
+        wait_until("one host follows another", || {
+            hosts.iter().any(|host| host.process.lines_with("following") > 0)
+        })
+        .await;
+        let written = Instant::now();
+        store.put("op", "config", &config(2, SERVICE));
+        let has = |host: &Host| host.process.lines().iter().any(|line| line["version"] == 2);
+        wait_until("all have version 2", || hosts.iter().all(has)).await;
+        let took = written.elapsed();
+        assert!(took < Duration::from_secs(2), "{took:?} until all hosts had the configuration");
+    });
+}
+
+#[test]
+fn followers_take_over_when_the_hosts_that_watch_the_store_are_killed() {
+    block_on(async {
+        let store = Store::start();
+        store.put("op", "config", &config(1, SERVICE));
+        let hosts = start_three(&store, 13).await;
+        let is_follower = |host: &&Host| host.process.lines_with("following") > 0;
+        wait_until("one host follows another", || hosts.iter().any(|h| is_follower(&h))).await;
+        let (followers, watchers): (Vec<_>, Vec<_>) = hosts.iter().partition(is_follower);
+        watchers.iter().for_each(|host| host.process.signal(Signal::Kill));
+        store.put("op", "config", &config(2, SERVICE));
+        let has = |host: &Host| host.process.lines().iter().any(|line| line["version"] == 2);
+        wait_until("the followers have version 2", || followers.iter().all(|h| has(h))).await;
+    });
+}
+
+#[test]
+fn a_stopping_host_cuts_no_call_and_leaves_the_directory_first() {
+    block_on(async {
+        let mut world = World::start(&[Behaviour::Serves(Duration::from_millis(800))]).await;
+        let mut caller = world.host.open().unwrap();
+        send(&mut caller, "POST", "/unsafe/1", "id-1", 2000).unwrap();
+        wait_until("the call runs", || world.runs_of("id-1") == 1).await;
+        world.host.process.signal(Signal::Terminate);
+        wait_until("the host is not ready", || !world.host.is_ready()).await;
+        let answer = receive(&mut caller).unwrap();
+        assert_eq!((answer.status, answer.whole), (200, true));
+        assert!(answer.head.contains("connection: close"), "{}", answer.head);
+        assert_eq!(caller.read(&mut [0]).unwrap(), 0);
+        // Callers that still hold an answer of the directory are served meanwhile.
+        let late = world.host.call("POST", "/unsafe/1", "id-2").unwrap();
+        assert_eq!(late.status, 200);
+        let ended = world.host.process.wait(Duration::from_secs(4)).await;
+        assert_eq!(ended, Some(true), "the host ends by itself within the grace");
+    });
+}
+
+#[test]
+fn a_reload_cuts_nothing() {
+    block_on(async {
+        let world = World::start(&[Behaviour::Serves(Duration::from_millis(300))]).await;
+        let mut caller = world.host.open().unwrap();
+        send(&mut caller, "GET", "/safe/1", "id-1", 2000).unwrap();
+        wait_until("the call runs", || world.runs_of("id-1") == 1).await;
+        world.host.process.signal(Signal::Reload);
+        assert_eq!(receive(&mut caller).unwrap().status, 200);
+        wait_until("the reload is logged", || world.host.process.lines_with("reload") == 1).await;
+        assert!(world.host.is_ready());
+    });
+}
+
+#[test]
+fn a_killed_host_comes_back_from_the_store() {
+    block_on(async {
+        let world = World::start(&[PROMPT]).await;
+        world.host.process.signal(Signal::Kill);
+        let again = Host::start(&world.store, Ipv4Addr::LOCALHOST, 0, "").await;
+        wait_until("the host is ready", || again.is_ready()).await;
+        assert_eq!(again.call("GET", "/safe/1", "id-1").unwrap().status, 200);
+    });
+}
+
+#[test]
+fn entries_that_lapsed_while_the_store_was_away_keep_their_upstreams_until_it_is_back_for_a_while()
+{
+    block_on(async {
+        let world = World::start(&[PROMPT]).await;
+        world.store.set_mode(Mode::Down);
+        monoio::time::sleep(Duration::from_millis(1500)).await;
+        world.store.remove("servers", "i-0");
+        world.store.set_mode(Mode::Up);
+        wait_until("the removal is seen", || {
+            world.host.process.lines_with("upstream_unlisted") == 1
+        })
+        .await;
+        assert_eq!(world.host.call("GET", "/safe/1", "id-1").unwrap().status, 200);
+        let upstream: &Upstream = &world.upstreams[0];
+        world.store.put("servers", "i-0", &upstream.entry(SERVICE, "v1", "ready"));
+        monoio::time::sleep(Duration::from_millis(3000)).await;
+        assert_eq!(world.host.call("GET", "/safe/1", "id-2").unwrap().status, 200);
+    });
+}
+
+#[test]
+fn settings_that_are_wrong_are_told_together_with_exit_code_2() {
+    let program = basilhaven_bench::process::program("basilhavend");
+    let flags = ["name=h", "data-centre=a", "listen=x", "ready=127.0.0.1:0", "store=y"];
+    let flags = flags.iter().chain(&["directory=127.0.0.1:0", "peer=127.0.0.1:0"]);
+    let flags = flags.chain(&["metrics=127.0.0.1:0", "retry-ratio=-1"]);
+    let flags = flags.map(|flag| format!("--{flag}"));
+    let run = std::process::Command::new(program).arg("gateway").args(flags).output().unwrap();
+    let told = String::from_utf8_lossy(&run.stderr).into_owned();
+    assert_eq!(run.status.code(), Some(2), "{told}");
+    for flag in ["--listen", "--store", "--retry-ratio"] {
+        assert!(told.contains(flag), "{flag} is not among: {told}");
+    }
+}
--- /dev/null
+++ b/crates/basilhaven-bench/tests/gateway/main.rs
@@ -0,0 +1,6 @@
+//! The gateway as real processes, between stand-ins of the users' store, upstreams and callers.
+
+mod answers;
+mod hosts;
+mod orders;
+mod world;
--- a/crates/basilhaven/src/daemon.rs
+++ b/crates/basilhaven/src/daemon.rs
@@ -108,7 +108,7 @@
 
 /// Binds one address for UDP and TCP alike; a port from the operating system may be free for one of
 /// them only, and another is then tried.
-fn bind_peer(address: SocketAddr) -> std::io::Result<(UdpSocket, TcpListener)> {
+pub(crate) fn bind_peer(address: SocketAddr) -> std::io::Result<(UdpSocket, TcpListener)> {
     let mut tries = if address.port() == 0 { PORT_TRIES } else { 1 };
     loop {
         tries -= 1;
--- a/crates/basilhaven/src/gateway/front.rs
+++ b/crates/basilhaven/src/gateway/front.rs
@@ -188,8 +188,14 @@
 ) -> Result<Next, http1::Error> {
     let started = Instant::now();
     let keeps = head::keeps_alive(request.parts.version, &request.parts.headers);
-    let stays = front.members.state() != cluster::State::Leaving;
-    let next = if keeps && stays { Next::Request } else { Next::Close };
+    let next = || {
+        let stays = front.members.state() != cluster::State::Leaving;
+        if keeps && stays {
+            Next::Request
+        } else {
+            Next::Close
+        }
+    };
     let body = match read_body(conn, &request, limits).await {
         Ok(Some(body)) => body,
         Ok(None) => {
@@ -199,12 +205,12 @@
         Err(error) => return reject(conn, &error).await,
     };
     let Some(table) = front.book.table() else {
-        return not_run(conn, RETRY_AFTER, next).await;
+        return not_run(conn, RETRY_AFTER, next()).await;
     };
     let host = host_name(&request.parts).unwrap_or_default();
     let Some(route) = table.find(host, request.parts.uri.path()).cloned() else {
         tracing::info!(event = "no_route", host, version = table.version);
-        return send(conn, http::StatusCode::NOT_FOUND, &HeaderMap::new(), Bytes::new(), next)
+        return send(conn, http::StatusCode::NOT_FOUND, &HeaderMap::new(), Bytes::new(), next())
             .await;
     };
     let call = call(front, request, body, &route, started);
@@ -225,7 +231,8 @@
             }
         }
     };
-    deliver(conn, reply, next).await
+    // The host may have been told to stop while the call ran.
+    deliver(conn, reply, next()).await
 }
 
 /// The host that a request names, without the port.
--- a/crates/basilhaven/src/gateway/place.rs
+++ b/crates/basilhaven/src/gateway/place.rs
@@ -85,12 +85,13 @@
     pub candidates: usize,
     /// How old the load report was.
     pub report_age: Duration,
+    placed: Instant,
     desk: Rc<Desk>,
 }
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        self.upstream.end();
+        self.upstream.end(self.placed);
         self.desk.freed.notify();
     }
 }
@@ -287,6 +288,7 @@
             upstream: Rc::clone(chosen),
             cost,
             candidates,
+            placed: now,
             report_age: chosen.report().map_or(Duration::MAX, |r| now - r.at),
             desk: Rc::clone(desk),
         })
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -16,7 +16,7 @@
     cluster, directory, front, news, place, probe, protocol, registry, relay, retries, settings,
     steer, store,
 };
-use crate::{finding, log};
+use crate::{daemon, finding, log};
 
 /// Connections that may wait for being accepted.
 const BACKLOG: i32 = 1024;
@@ -84,8 +84,8 @@
     let ready = listen("--ready", settings.ready);
     let directory = listen("--directory", settings.directory);
     let metrics = listen("--metrics", settings.metrics);
-    let relay = listen("--peer", settings.peer);
-    let peer = findings.keep(format!("--peer {}", settings.peer), UdpSocket::bind(settings.peer));
+    let bound = daemon::bind_peer(settings.peer);
+    let (peer, relay) = findings.keep(format!("--peer {}", settings.peer), bound).unzip();
     let sockets = (|| {
         Some(Sockets {
             callers: callers?,
@@ -110,14 +110,25 @@
     let sockets = bind(&settings)?;
     let stop = signal_stream(&[signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT]);
     let reload = signal_stream(&[signal_hook::consts::SIGHUP]);
+    // Ports may have been left to the operating system.
+    let local = |address: io::Result<SocketAddr>| address.expect("a bound socket");
     let record = cluster::Record {
-        peer: settings.peer,
-        callers: settings.listen,
+        peer: local(sockets.peer.local_addr()),
+        callers: local(sockets.callers.local_addr()),
         data_centre: Rc::clone(&settings.data_centre),
     };
+    tracing::info!(
+        event = "started",
+        host = &*settings.name,
+        callers = %record.callers,
+        peer = %record.peer,
+        ready = %local(sockets.ready.local_addr()),
+        directory = %local(sockets.directory.local_addr()),
+        metrics = %local(sockets.metrics.local_addr()),
+    );
     let members = Rc::new(cluster::Members::new(&record, settings.capacity, Instant::now()));
     for seed in &settings.seeds {
-        members.add_contact(SocketAddr::new(seed.ip(), settings.peer.port()));
+        members.add_contact(SocketAddr::new(seed.ip(), record.peer.port()));
     }
     let desk = Rc::new(news::Desk::new(Rc::clone(&members)));
     let front = front(&settings, store.protocol(), &desk);
@@ -133,7 +144,6 @@
     monoio::spawn(note_reloads(reload));
     pages(&settings, &front, sockets.ready, sockets.directory, sockets.metrics, log);
     monoio::spawn(front::accept(Rc::clone(&front), sockets.callers));
-    tracing::info!(event = "started", host = &*settings.name, callers = %settings.listen);
     shut_down(&settings, &front, &desk, &peer, stop).await;
     tracing::info!(event = "stopped", host = &*settings.name, connections = front.open.get());
     Ok(())
--- a/crates/basilhaven/src/gateway/upstream.rs
+++ b/crates/basilhaven/src/gateway/upstream.rs
@@ -176,15 +176,21 @@
         reported.unwrap_or(self.entry().slots).max(1)
     }
 
-    /// Counts a call that is sent to it.
+    /// Counts a call that is sent to it; [`end`](Upstream::end) is to be told when that was.
     pub fn start(&self) {
         self.in_flight.set(self.in_flight.get() + 1);
         self.sent_since_report.set(self.sent_since_report.get() + 1);
     }
 
-    /// Counts a call as ended.
-    pub fn end(&self) {
+    /// Counts a call that was sent at `sent` as ended.
+    ///
+    /// One that was sent before the newest report still counts as reported: others of which this host
+    /// does not know have begun meanwhile.
+    pub fn end(&self, sent: Instant) {
         self.in_flight.set(self.in_flight.get().saturating_sub(1));
+        if self.report.get().is_none_or(|report| report.at <= sent) {
+            self.sent_since_report.set(self.sent_since_report.get().saturating_sub(1));
+        }
     }
 
     /// Notes an answer that was good.
