--- a/crates/basilhaven/src/gateway/choice.rs
+++ b/crates/basilhaven/src/gateway/choice.rs
@@ -23,7 +23,7 @@
 const EXCESS_COST: f64 = 3.0;
 
 /// What another data centre adds: its round trip as a part of a call.
-const REMOTE_COST: f64 = 0.05;
+const REMOTE_COST: f64 = 0.2;
 
 /// What each failure of late adds.
 const FAILURE_COST: f64 = 1.0;
