--- a/crates/basilhaven/src/gateway/cluster.rs
+++ b/crates/basilhaven/src/gateway/cluster.rs
@@ -34,6 +34,10 @@
 const WATCHERS: usize = 2;
 const WATCHERS_AMONG_MANY: usize = 3;
 
+/// Hosts for each watcher that take its place when it has lost the store, until the others have heard of
+/// that; with all of them lost, the store is most likely down for everyone.
+const RESERVES_PER_WATCHER: usize = 3;
+
 /// How long a host that could not read the store is passed over as a watcher.
 const BLIND_TIME: Duration = Duration::from_secs(5);
 
@@ -133,6 +137,10 @@
     pub is_own: bool,
     /// The other ones.
     pub others: Vec<SocketAddr>,
+    /// Whether this host watches the store when the watchers have lost it.
+    pub is_reserve: bool,
+    /// The other hosts that do.
+    pub reserves: Vec<SocketAddr>,
 }
 
 /// A short form of a name, the same on all hosts.
@@ -206,11 +214,19 @@
     /// The hosts that watch the store: of those that can read it, the ones that can carry most.
     pub fn watchers(&self, now: Instant) -> Watchers {
         let own = self.own.get().peer();
-        let mut live = self.ranked(now);
-        live.truncate(if live.len() > FEW { WATCHERS_AMONG_MANY } else { WATCHERS });
-        let mut others: Vec<SocketAddr> = live.iter().map(Pulse::peer).collect();
-        others.retain(|peer| *peer != own);
-        Watchers { is_own: others.len() < live.len(), others }
+        let ranked: Vec<SocketAddr> = self.ranked(now).iter().map(Pulse::peer).collect();
+        let count = if ranked.len() > FEW { WATCHERS_AMONG_MANY } else { WATCHERS };
+        let (first, rest) = ranked.split_at(count.min(ranked.len()));
+        let second = &rest[..rest.len().min(count * RESERVES_PER_WATCHER)];
+        let without_own = |hosts: &[SocketAddr]| {
+            hosts.iter().copied().filter(|host| *host != own).collect::<Vec<SocketAddr>>()
+        };
+        Watchers {
+            is_own: first.contains(&own),
+            others: without_own(first),
+            is_reserve: second.contains(&own),
+            reserves: without_own(second),
+        }
     }
 
     /// Takes in what a host has told; returns whether it told of a host that was not known.
--- a/crates/basilhaven/src/gateway/news.rs
+++ b/crates/basilhaven/src/gateway/news.rs
@@ -271,7 +271,10 @@
         if is_new && store.is_some() || watchers.is_own {
             return store.or_else(|| self.host_among(&watchers.others, now));
         }
-        self.host_among(&watchers.others, now).or(store)
+        self.host_among(&watchers.others, now).or_else(|| match watchers.is_reserve {
+            true => store,
+            false => self.host_among(&watchers.reserves, now),
+        })
     }
 
     fn host_among(&self, hosts: &[SocketAddr], now: Instant) -> Option<Provider> {
@@ -297,7 +300,9 @@
             Provider::Host(host) => {
                 let is_enough = || {
                     let watchers = desk.members.watchers(Instant::now());
-                    watchers.is_own || !watchers.others.contains(&host)
+                    let is_right =
+                        watchers.others.contains(&host) || watchers.reserves.contains(&host);
+                    watchers.is_own || !is_right
                 };
                 relay::follow(&desk, host, is_enough).await.map_err(|e| e.to_string())
             }
