--- a/crates/basilhaven/src/gateway/front.rs
+++ b/crates/basilhaven/src/gateway/front.rs
@@ -205,6 +205,7 @@
         Err(error) => return reject(conn, &error).await,
     };
     let Some(table) = front.book.table() else {
+        tracing::info!(event = "not_configured");
         return not_run(conn, RETRY_AFTER, next()).await;
     };
     let host = host_name(&request.parts).unwrap_or_default();
@@ -231,6 +232,7 @@
             }
         }
     };
+    log_failure(&call, &route, &reply, started);
     // The host may have been told to stop while the call ran.
     deliver(conn, reply, next()).await
 }
@@ -394,6 +396,24 @@
     }
 }
 
+/// Says that a caller gets no answer of an upstream; every such call has a line.
+fn log_failure(call: &attempt::Call, route: &route::Route, reply: &Reply, started: Instant) {
+    let status = match reply {
+        Reply::Answer(_) => return,
+        Reply::NotRun(_) => http::StatusCode::SERVICE_UNAVAILABLE,
+        Reply::Unknown(status) => *status,
+    };
+    metrics::counter!("basilhaven_unanswered_total", "status" => status.as_u16().to_string())
+        .increment(1);
+    tracing::info!(
+        event = "not_answered",
+        id = id_text(call),
+        route = &*route.name,
+        status = status.as_u16(),
+        total_ms = started.elapsed().as_millis() as u64,
+    );
+}
+
 /// Keeps how a call ended as evidence on the version that ran it; cold upstreams are slow whatever
 /// version they run.
 fn note_version(
