--- a/crates/basilhaven/src/gateway/moves.rs
+++ b/crates/basilhaven/src/gateway/moves.rs
@@ -73,10 +73,10 @@
 const FAILED_RATIO: f64 = 3.0;
 const FAILED_EXCESS: f64 = 3.0;
 
-/// Answers, and failed ones among them, that are assumed of the old version before any was seen. They
+/// Answers, and the share of failed ones, that are assumed of the old version before any was seen. They
 /// weigh little: routes on which every call fails, whatever the version, get few calls.
 const PRIOR_ANSWERS: f64 = 10.0;
-const PRIOR_FAILED: f64 = 0.3;
+const PRIOR_SHARE: f64 = 0.03;
 
 /// Answers from which a version can be judged by its times, and the ratio of means that is too high.
 const LEAST_TIMED: u32 = 6;
@@ -180,6 +180,40 @@
     pub new: Count,
     /// The old version.
     pub old: Count,
+    /// The old version's last answers: faults that strike both versions may have begun after most of
+    /// [`old`](Pair::old).
+    pub old_of_late: Late,
+}
+
+/// Answers of late; each new one takes an eighth of the weight of those before it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Late {
+    /// The weight of all answers.
+    pub answers: f32,
+    /// The weight of those that failed.
+    pub failed: f32,
+}
+
+/// What is left of the weight of answers at each new one.
+const LATE_DECAY: f32 = 7.0 / 8.0;
+
+impl Late {
+    fn add(&mut self, count: &Count) {
+        self.answers = self.answers * LATE_DECAY + count.answers as f32;
+        self.failed = self.failed * LATE_DECAY + count.failed as f32;
+    }
+}
+
+impl Pair {
+    /// The share of failures that the old version leads to expect.
+    fn expected_share(&self) -> f64 {
+        let share = |answers: f64, failed: f64, prior: f64| {
+            (failed + prior * PRIOR_ANSWERS) / (answers + PRIOR_ANSWERS)
+        };
+        let long = share(self.old.answers.into(), self.old.failed.into(), PRIOR_SHARE);
+        let late = self.old_of_late;
+        long.max(share(late.answers.into(), late.failed.into(), long))
+    }
 }
 
 /// What one host has seen during a move.
@@ -227,9 +261,10 @@
 ///
 /// let good = moves::Count { answers: 200, failed: 2, seconds: 20.0 };
 /// let bad = moves::Count { answers: 12, failed: 6, seconds: 1.2 };
-/// let seen = [("prices".into(), moves::Pair { new: bad, old: good })];
+/// let late = moves::Late::default();
+/// let seen = [("prices".into(), moves::Pair { new: bad, old: good, old_of_late: late })];
 /// assert!(moves::judge(seen.iter().map(|(r, p)| (r, p))).is_some());
-/// let seen = [("prices".into(), moves::Pair { new: good, old: good })];
+/// let seen = [("prices".into(), moves::Pair { new: good, old: good, old_of_late: late })];
 /// assert!(moves::judge(seen.iter().map(|(r, p)| (r, p))).is_none());
 /// ```
 pub fn judge<'a, I>(routes: I) -> Option<Verdict>
@@ -242,9 +277,7 @@
 fn judge_route(route: &Rc<str>, pair: &Pair) -> Option<Verdict> {
     let (new, old) = (pair.new.failed_share(), pair.old.failed_share());
     let verdict = |fault, new, old| Some(Verdict { fault, route: Rc::clone(route), new, old });
-    let prior =
-        (f64::from(pair.old.failed) + PRIOR_FAILED) / (f64::from(pair.old.answers) + PRIOR_ANSWERS);
-    let expected = prior * f64::from(pair.new.answers);
+    let expected = pair.expected_share() * f64::from(pair.new.answers);
     let failed = f64::from(pair.new.failed);
     if pair.new.failed >= LEAST_FAILURES && failed > FAILED_RATIO * expected + FAILED_EXCESS {
         return verdict(Fault::Failures, new, old);
@@ -463,7 +496,10 @@
         let pair = evidence.routes.entry(Rc::clone(route)).or_default();
         match *known.order.to == *version {
             true => pair.new.add(&count),
-            false => pair.old.add(&count),
+            false => {
+                pair.old.add(&count);
+                pair.old_of_late.add(&count);
+            }
         }
     }
 
@@ -492,6 +528,8 @@
                 let sum = all.entry(Rc::clone(route)).or_default();
                 sum.new.add(&pair.new);
                 sum.old.add(&pair.old);
+                sum.old_of_late.answers += pair.old_of_late.answers;
+                sum.old_of_late.failed += pair.old_of_late.failed;
             }
         }
         all
