Read the gateway as a newcomer: one reader of settings, queue for desk, exposure from the settings

The steps of a move follow from the exposure that the settings allow (its slack was read and not used: gone); settings are read by one function; what waits at a service is a queue; fields that nothing reads are gone.

--- a/crates/basilhaven/src/gateway/cold.rs
+++ b/crates/basilhaven/src/gateway/cold.rs
@@ -19,7 +19,8 @@
 /// assert!(warmup.admits(now));
 /// warmup.note(now, Duration::from_secs(60));
 /// warmup.set_share(1.0, 10);
-/// // Ten hosts share a call a second: this one sends within the first 13 seconds, and once.
+/// // Ten hosts share a call a second: this one's turn comes within the next 14 seconds, and once.
+/// warmup.admits(now);
 /// let later = now + Duration::from_secs(14);
 /// assert!(warmup.admits(later));
 /// warmup.count(later);
--- a/crates/basilhaven/src/gateway/front.rs
+++ b/crates/basilhaven/src/gateway/front.rs
@@ -313,15 +313,15 @@
         tracing::warn!(event = "no_service", route = &*route.name, version = table.version);
         return Reply::NotRun(RETRY_AFTER);
     };
-    let desk = front.placer.desk(name);
-    desk.retries.count_call(started);
+    let queue = front.placer.queue(name);
+    queue.retries.count_call(started);
     let least = route.target.mul_f64(LEAST_TIME_SHARE);
     let mut tried: Vec<Rc<str>> = Vec::new();
     let mut reply = Reply::NotRun(RETRY_AFTER);
     let mut may_have_run = false;
     let mut sends = 0;
     while sends < route.max_attempts.max(1) {
-        if sends > 0 && !desk.retries.try_spend(Instant::now(), front.allowance()) {
+        if sends > 0 && !queue.retries.try_spend(Instant::now(), front.allowance()) {
             break;
         }
         let until = call.until.checked_sub(least).unwrap_or(call.until);
@@ -332,7 +332,7 @@
             until,
             deadline: call.until,
             target_at: started + route.target,
-            usual: desk.usual(route),
+            usual: queue.usual(route),
         };
         let lease = match front.placer.place(&need, service).await {
             Ok(lease) => lease,
@@ -359,7 +359,7 @@
                     true => lease.upstream.note_failure(now, FAILURE_WEIGHT),
                     false => {
                         lease.upstream.note_success(now);
-                        desk.note_time(route, lease.cost, sent.elapsed());
+                        queue.note_time(route, lease.cost, sent.elapsed());
                     }
                 }
                 reply = Reply::Answer(answer);
--- a/crates/basilhaven/src/gateway/moves.rs
+++ b/crates/basilhaven/src/gateway/moves.rs
@@ -48,13 +48,16 @@
     RolledBack,
 }
 
-/// The part of the calls that goes to the new version in a trial; an unproved version may get a tenth of
-/// the calls until its deadline, and the later steps have their part of that.
-const TRIAL_SHARE: f64 = 0.06;
+/// The part of the calls that goes to the new version in a trial, as a part of what an unproved version
+/// may get: the later steps have theirs of that.
+const TRIAL_SHARE: f64 = 0.6;
 
-/// The parts at the steps after it; up to the last one, an unproved version gets less than a tenth of
-/// the calls between order and deadline.
-const RAMP_SHARES: [f64; 3] = [0.1, 0.25, 0.5];
+/// The parts at the steps after it; together with the trial they stay below what an unproved version may
+/// get of all calls until its deadline.
+const RAMP_SHARES: [f64; 3] = [1.0, 2.5, 5.0];
+
+/// What an unproved version may get, unless the settings say otherwise.
+const EXPOSURE: f64 = 0.1;
 
 /// When the trial ends, as a part of the move's time: faults that come late have shown by then.
 const TRIAL_END: f64 = 0.4;
@@ -89,11 +92,15 @@
 const LEAST_TRIED: u32 = 8;
 
 impl Stage {
-    /// The part of the calls that goes to the new version.
-    pub fn share(self) -> f64 {
+    /// The part of the calls that goes to the new version, where an unproved one may get `exposure` of
+    /// them.
+    pub fn share(self, exposure: f64) -> f64 {
         match self {
-            Stage::Trial => TRIAL_SHARE,
-            Stage::Ramp(step) => RAMP_SHARES[usize::from(step).min(RAMP_SHARES.len() - 1)],
+            Stage::Trial => TRIAL_SHARE * exposure,
+            Stage::Ramp(step) => {
+                let part = RAMP_SHARES[usize::from(step).min(RAMP_SHARES.len() - 1)];
+                (part * exposure).min(1.0)
+            }
             Stage::Full | Stage::Completed => 1.0,
             Stage::RolledBack => 0.0,
         }
@@ -138,10 +145,10 @@
 
 impl Step {
     /// The part of the calls that goes to the new version.
-    fn share(&self) -> f64 {
+    fn share(&self, exposure: f64) -> f64 {
         match self.braked {
             true => 0.0,
-            false => self.stage.share(),
+            false => self.stage.share(exposure),
         }
     }
 }
@@ -348,8 +355,9 @@
 }
 
 /// The moves that this host knows.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Moves {
+    exposure: Cell<f64>,
     orders: RefCell<IndexMap<Rc<str>, Known>>,
     steps: RefCell<IndexMap<Rc<str>, (Step, Instant)>>,
     own: RefCell<IndexMap<Rc<str>, Evidence>>,
@@ -358,7 +366,25 @@
     pub steps_known: Cell<bool>,
 }
 
+impl Default for Moves {
+    fn default() -> Moves {
+        Moves {
+            exposure: Cell::new(EXPOSURE),
+            orders: RefCell::default(),
+            steps: RefCell::default(),
+            own: RefCell::default(),
+            heard: RefCell::default(),
+            steps_known: Cell::default(),
+        }
+    }
+}
+
 impl Moves {
+    /// Changes the part of a service's calls that an unproved version may get.
+    pub fn set_exposure(&self, share: f64) {
+        self.exposure.set(share);
+    }
+
     /// Takes in an order, or that there is none.
     pub fn apply_order(&self, service: Rc<str>, order: Option<Order>, now: Instant) {
         let Some(order) = order else {
@@ -467,7 +493,7 @@
         let to = &known.order.to;
         let (new, old): (Vec<_>, Vec<_>) = open.into_iter().partition(|u| u.entry().version == *to);
         let step = self.step_of(service, &known.order);
-        let share = step.as_ref().map_or(0.0, |(step, _)| step.share());
+        let share = step.as_ref().map_or(0.0, |(step, _)| step.share(self.exposure.get()));
         let is_completed = step.is_some_and(|(step, _)| step.stage == Stage::Completed);
         // In a trial the new version takes only what it has room for.
         let can_take = is_completed || new.iter().any(|u| u.warmup.admits(now));
--- a/crates/basilhaven/src/gateway/place.rs
+++ b/crates/basilhaven/src/gateway/place.rs
@@ -86,19 +86,19 @@
     /// How old the load report was.
     pub report_age: Duration,
     placed: Instant,
-    desk: Rc<Desk>,
+    queue: Rc<Queue>,
 }
 
 impl Drop for Lease {
     fn drop(&mut self) {
         self.upstream.end(self.placed);
-        self.desk.freed.notify();
+        self.queue.freed.notify();
     }
 }
 
 /// Calls of one service that wait, and what was spent on sending calls again.
 #[derive(Debug)]
-pub struct Desk {
+pub struct Queue {
     waiting: RefCell<Vec<Place>>,
     next_ticket: Cell<u64>,
     freed: super::signal::Signal,
@@ -108,7 +108,7 @@
     usual: RefCell<IndexMap<Rc<str>, f64>>,
 }
 
-impl Desk {
+impl Queue {
     /// How long a call of a route takes at an upstream that is idle and as fast as usual.
     pub fn usual(&self, route: &route::Route) -> Duration {
         let known = self.usual.borrow().get(&route.name).copied();
@@ -131,9 +131,9 @@
 /// The weight of one call in what is usual for its route.
 const USUAL_WEIGHT: f64 = 0.03;
 
-impl Default for Desk {
-    fn default() -> Desk {
-        Desk {
+impl Default for Queue {
+    fn default() -> Queue {
+        Queue {
             waiting: RefCell::default(),
             next_ticket: Cell::default(),
             freed: super::signal::Signal::default(),
@@ -161,24 +161,24 @@
 
 /// A waiting call's place among those that wait.
 struct Ticket<'a> {
-    desk: &'a Desk,
+    queue: &'a Queue,
     place: Place,
 }
 
 impl<'a> Ticket<'a> {
-    fn new(desk: &'a Desk, need: &Need<'_>) -> Ticket<'a> {
-        let number = desk.next_ticket.get();
-        desk.next_ticket.set(number + 1);
+    fn new(queue: &'a Queue, need: &Need<'_>) -> Ticket<'a> {
+        let number = queue.next_ticket.get();
+        queue.next_ticket.set(number + 1);
         let on_time_until = need.on_time_until();
         let place = Place { rank: need.rank, number, on_time_until };
-        desk.waiting.borrow_mut().push(place);
-        Ticket { desk, place }
+        queue.waiting.borrow_mut().push(place);
+        Ticket { queue, place }
     }
 
     /// Whether few enough calls come before this one.
     fn may_look(&self, now: Instant) -> bool {
         let own = self.place.order(now);
-        let waiting = self.desk.waiting.borrow();
+        let waiting = self.queue.waiting.borrow();
         waiting.iter().filter(|place| place.order(now) < own).count() < LOOKING
     }
 }
@@ -186,7 +186,7 @@
 impl Drop for Ticket<'_> {
     fn drop(&mut self) {
         let number = self.place.number;
-        self.desk.waiting.borrow_mut().retain(|place| place.number != number);
+        self.queue.waiting.borrow_mut().retain(|place| place.number != number);
     }
 }
 
@@ -199,7 +199,7 @@
     /// The moves between versions.
     pub moves: Rc<moves::Moves>,
     prober: Rc<probe::Prober>,
-    desks: RefCell<IndexMap<Rc<str>, Rc<Desk>>>,
+    queues: RefCell<IndexMap<Rc<str>, Rc<Queue>>>,
 }
 
 impl Placer {
@@ -211,13 +211,13 @@
         moves: Rc<moves::Moves>,
         prober: Rc<probe::Prober>,
     ) -> Placer {
-        let desks = RefCell::default();
-        Placer { data_centre, registry, members, moves, prober, desks }
+        let queues = RefCell::default();
+        Placer { data_centre, registry, members, moves, prober, queues }
     }
 
-    /// The desk of a service.
-    pub fn desk(&self, service: &Rc<str>) -> Rc<Desk> {
-        Rc::clone(self.desks.borrow_mut().entry(Rc::clone(service)).or_default())
+    /// The queue of a service.
+    pub fn queue(&self, service: &Rc<str>) -> Rc<Queue> {
+        Rc::clone(self.queues.borrow_mut().entry(Rc::clone(service)).or_default())
     }
 
     /// An upstream that takes the call now.
@@ -226,13 +226,13 @@
     ///
     /// There is none, or none has room before the call can no longer be served.
     pub async fn place(&self, need: &Need<'_>, service: &route::Service) -> Result<Lease, Refusal> {
-        let desk = self.desk(need.service);
-        let ticket = Ticket::new(&desk, need);
+        let queue = self.queue(need.service);
+        let ticket = Ticket::new(&queue, need);
         loop {
-            let freed = desk.freed.count();
+            let freed = queue.freed.count();
             let mut outcome = Refusal::NoRoom;
             if ticket.may_look(Instant::now()) {
-                match self.look(need, service, &desk).await {
+                match self.look(need, service, &queue).await {
                     Ok(lease) => return Ok(lease),
                     Err(refusal) => outcome = refusal,
                 }
@@ -242,7 +242,7 @@
                 return Err(outcome);
             }
             let pause = RETRY_PAUSE.min(need.until - now);
-            desk.freed.changed_within(freed, pause).await;
+            queue.freed.changed_within(freed, pause).await;
         }
     }
 
@@ -251,7 +251,7 @@
         &self,
         need: &Need<'_>,
         service: &route::Service,
-        desk: &Rc<Desk>,
+        queue: &Rc<Queue>,
     ) -> Result<Lease, Refusal> {
         let all = self.registry.of_service(need.service);
         let now = Instant::now();
@@ -285,7 +285,7 @@
             candidates,
             placed: now,
             report_age: chosen.report().map_or(Duration::MAX, |r| now - r.at),
-            desk: Rc::clone(desk),
+            queue: Rc::clone(queue),
         })
     }
 
--- a/crates/basilhaven/src/gateway/route.rs
+++ b/crates/basilhaven/src/gateway/route.rs
@@ -89,8 +89,6 @@
     pub health_path: Rc<str>,
     /// Connections that an upstream takes from all hosts together.
     pub max_connections: u32,
-    /// How long an upstream is cold after its start.
-    pub cold_time: Duration,
     /// Calls a second that a cold upstream bears.
     pub cold_rate: f64,
 }
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -131,6 +131,7 @@
         members.add_contact(SocketAddr::new(seed.ip(), record.peer.port()));
     }
     let desk = Rc::new(news::Desk::new(Rc::clone(&members)));
+    desk.moves.set_exposure(settings.exposure_share);
     let front = front(&settings, store.protocol(), &desk);
     let peer = Rc::new(sockets.peer);
     monoio::spawn(cluster::receive(Rc::clone(&desk), Rc::clone(&peer)));
@@ -216,7 +217,7 @@
         status: http::StatusCode::OK,
         content_type: "text/plain",
         body: Bytes::from(format!(
-            "{}basilhaven_log_lines_dropped_total {}\n",
+            "{}basilhaven_log_lines_dropped {}\n",
             log.render_metrics(),
             log.dropped_lines()
         )),
--- a/crates/basilhaven/src/gateway/settings.rs
+++ b/crates/basilhaven/src/gateway/settings.rs
@@ -61,9 +61,6 @@
     /// Part of a service's calls that a version may get before it is proved good
     #[bpaf(long, env("BASILHAVEN_EXPOSURE_SHARE"), argument("N"), fallback("0.1".to_owned()))]
     pub exposure_share: String,
-    /// Calls that it may get besides
-    #[bpaf(long, env("BASILHAVEN_EXPOSURE_SLACK"), argument("N"), fallback("50".to_owned()))]
-    pub exposure_slack: String,
     /// Probes of one upstream a second, over all hosts
     #[bpaf(long, env("BASILHAVEN_PROBE_RATE"), argument("N"), fallback("60".to_owned()))]
     pub probe_rate: String,
@@ -106,8 +103,6 @@
     pub retry_slack: f64,
     /// Part of a service's calls that a version may get before it is proved good.
     pub exposure_share: f64,
-    /// Calls that it may get besides.
-    pub exposure_slack: f64,
     /// Probes of one upstream a second, over all hosts.
     pub probe_rate: f64,
     /// How much this host can carry, compared with other hosts.
@@ -148,7 +143,6 @@
         let retry_ratio = number("--retry-ratio", &raw.retry_ratio);
         let retry_slack = number("--retry-slack", &raw.retry_slack);
         let exposure_share = number("--exposure-share", &raw.exposure_share);
-        let exposure_slack = number("--exposure-slack", &raw.exposure_slack);
         let probe_rate = number("--probe-rate", &raw.probe_rate);
         let cores = number("--cores", &raw.cores);
         let log = findings.keep("--log", crate::settings::Level::try_from(&*raw.log));
@@ -168,7 +162,6 @@
                 retry_ratio: retry_ratio?,
                 retry_slack: retry_slack?,
                 exposure_share: exposure_share?,
-                exposure_slack: exposure_slack?,
                 probe_rate: probe_rate?,
                 capacity: (cores? * CAPACITY_PER_CORE).clamp(1.0, u8::MAX.into()) as u8,
                 log: log?,
@@ -186,16 +179,5 @@
 ///
 /// Wrong settings are printed to standard error, all of them, each with its flag; the exit code is 2.
 pub fn from_arguments(arguments: &[std::ffi::OsString]) -> Settings {
-    let raw = match raw().run_inner(arguments) {
-        Ok(raw) => raw,
-        Err(failure) => {
-            let is_help = matches!(failure, bpaf::ParseFailure::Stdout(..));
-            failure.print_message(100);
-            std::process::exit(if is_help { 0 } else { 2 });
-        }
-    };
-    Settings::try_from(raw).unwrap_or_else(|findings| {
-        eprintln!("{findings}");
-        std::process::exit(2);
-    })
+    crate::settings::read(raw(), arguments.into())
 }
--- a/crates/basilhaven/src/settings.rs
+++ b/crates/basilhaven/src/settings.rs
@@ -143,7 +143,15 @@
 ///
 /// Wrong settings are printed to standard error, all of them, each with its place; the exit code is 2.
 pub fn from_process() -> Settings {
-    let raw = match raw().run_inner(bpaf::Args::current_args()) {
+    read(raw(), bpaf::Args::current_args())
+}
+
+/// Reads settings out of arguments and the environment; ends the process as [`from_process`] does.
+pub(crate) fn read<R, S>(parser: bpaf::OptionParser<R>, arguments: bpaf::Args<'_>) -> S
+where
+    S: TryFrom<R, Error = finding::Findings>,
+{
+    let raw = match parser.run_inner(arguments) {
         Ok(raw) => raw,
         Err(failure) => {
             let is_help = matches!(failure, bpaf::ParseFailure::Stdout(..));
@@ -151,7 +159,7 @@
             std::process::exit(if is_help { 0 } else { 2 });
         }
     };
-    Settings::try_from(raw).unwrap_or_else(|findings| {
+    S::try_from(raw).unwrap_or_else(|findings| {
         eprintln!("{findings}");
         std::process::exit(2);
     })
--- a/crates/basilhaven/tests/gateway/moves.rs
+++ b/crates/basilhaven/tests/gateway/moves.rs
@@ -139,7 +139,7 @@
     let time = 15.0;
     let parts = [(Stage::Trial, 0.4), (Stage::Ramp(0), 0.06), (Stage::Ramp(1), 0.06)];
     let parts = parts.into_iter().chain([(Stage::Ramp(2), 0.06)]);
-    let exposed: f64 = parts.map(|(stage, part)| stage.share() * part * time).sum();
+    let exposed: f64 = parts.map(|(stage, part)| stage.share(0.1) * part * time).sum();
     assert!(exposed < 0.1 * time, "{exposed:.2} s of all calls");
 }
 
