Test that an upstream that says that it leaves gets nothing more

A deliberate break (leaving upstreams count as open) made no test of the gateway fail: its test took eight calls that missed one of two upstreams by chance for proof. A rule of the registry is tested without a network now, seen failing under the break, and the test on processes asks for twenty calls and then thirty more.

--- a/crates/basilhaven-bench/tests/gateway/orders.rs
+++ b/crates/basilhaven-bench/tests/gateway/orders.rs
@@ -46,9 +46,13 @@
         world.store.put("servers", &leaving.id, &leaving.entry(SERVICE, "v1", "draining"));
         wait_until("the entry is applied", || {
             let before = leaving.ran().len();
-            (0..8).all(|n| is_served(&world, &format!("l-{n}"))) && leaving.ran().len() == before
+            // Twenty calls in a row do not miss one of two equal upstreams by chance.
+            (0..20).all(|n| is_served(&world, &format!("l-{n}"))) && leaving.ran().len() == before
         })
         .await;
+        let before = leaving.ran().len();
+        (0..30).for_each(|n| assert!(is_served(&world, &format!("m-{n}"))));
+        assert_eq!(leaving.ran().len(), before);
         world.store.put("op", "evacuate/a", "{}");
         wait_until("nothing is sent there", || !is_served(&world, "evacuated")).await;
         let asked = Instant::now();
--- a/crates/basilhaven/tests/gateway/news.rs
+++ b/crates/basilhaven/tests/gateway/news.rs
@@ -8,7 +8,7 @@
 use basilhaven::gateway::news::Desk;
 use basilhaven::gateway::registry::Registry;
 use basilhaven::gateway::store::{Change, Source};
-use basilhaven::gateway::{journal, route};
+use basilhaven::gateway::{journal, route, upstream};
 
 use crate::entry;
 
@@ -86,6 +86,15 @@
     assert_eq!(open(&registry, now), 0);
 }
 
+#[test]
+fn an_upstream_that_says_that_it_leaves_gets_nothing_more() {
+    let (registry, now) = (Registry::default(), Instant::now());
+    registry.apply("u1".into(), Some(entry("catalogo", "v1", "a")), now);
+    let leaving = upstream::Entry { leaving: true, ..entry("catalogo", "v1", "a") };
+    registry.apply("u1".into(), Some(leaving), now);
+    assert_eq!(open(&registry, now), 0);
+}
+
 #[test]
 fn an_evacuated_data_centre_gets_nothing_until_it_is_taken_back() {
     let (registry, now) = (Registry::default(), Instant::now());
