Find the host that a request names in one place

The older path and the gateway each had the same function under two names; both call http1::head::host now.

--- a/crates/basilhaven/src/entry/mod.rs
+++ b/crates/basilhaven/src/entry/mod.rs
@@ -195,7 +195,7 @@
         let service = service.to_owned();
         return entries(node, conn, &request, &service, next).await;
     }
-    let service = service_name(&request.parts).and_then(|name| node.service(name));
+    let service = head::host(&request.parts).and_then(|name| node.service(name));
     match service {
         Some(service) => forward::serve(node, conn, service, request, next).await,
         None => {
@@ -218,16 +218,6 @@
     }
 }
 
-/// The service that a request is for: the host in its target, or else its `host` field without the
-/// port.
-fn service_name(parts: &http::request::Parts) -> Option<&str> {
-    if let Some(host) = parts.uri.host() {
-        return Some(host);
-    }
-    let host = parts.headers.get(header::HOST)?.to_str().ok()?;
-    Some(host.split(':').next().unwrap_or(host))
-}
-
 async fn entries(
     node: &Rc<node::Node>,
     conn: &mut http1::Conn,
--- a/crates/basilhaven/src/gateway/front.rs
+++ b/crates/basilhaven/src/gateway/front.rs
@@ -208,7 +208,7 @@
         tracing::info!(event = "not_configured");
         return not_run(conn, RETRY_AFTER, next()).await;
     };
-    let host = host_name(&request.parts).unwrap_or_default();
+    let host = head::host(&request.parts).unwrap_or_default();
     let Some(route) = table.find(host, request.parts.uri.path()).cloned() else {
         tracing::info!(event = "no_route", host, version = table.version);
         return send(conn, http::StatusCode::NOT_FOUND, &HeaderMap::new(), Bytes::new(), next())
@@ -237,15 +237,6 @@
     deliver(conn, reply, next()).await
 }
 
-/// The host that a request names, without the port.
-fn host_name(parts: &http::request::Parts) -> Option<&str> {
-    if let Some(host) = parts.uri.host() {
-        return Some(host);
-    }
-    let host = parts.headers.get(header::HOST)?.to_str().ok()?;
-    Some(host.split(':').next().unwrap_or(host))
-}
-
 /// Reads a request's whole body; `None` when it is too long.
 async fn read_body(
     conn: &mut http1::Conn,
--- a/crates/basilhaven/src/http1/head.rs
+++ b/crates/basilhaven/src/http1/head.rs
@@ -180,6 +180,26 @@
     std::str::from_utf8(digits).ok()?.parse().ok()
 }
 
+/// The host that a request names, without the port: that of its target, or else of its `host` field.
+///
+/// # Examples
+///
+/// ```
+/// use basilhaven::http1::head;
+///
+/// let request = http::Request::get("/prices").header("host", "shop.example:8080").body(())?;
+/// let (parts, ()) = request.into_parts();
+/// assert_eq!(head::host(&parts), Some("shop.example"));
+/// # Ok::<(), http::Error>(())
+/// ```
+pub fn host(parts: &http::request::Parts) -> Option<&str> {
+    if let Some(host) = parts.uri.host() {
+        return Some(host);
+    }
+    let host = parts.headers.get(header::HOST)?.to_str().ok()?;
+    Some(host.split(':').next().unwrap_or(host))
+}
+
 /// Whether the sender of this head means to keep its connection open.
 pub fn keeps_alive(version: http::Version, headers: &HeaderMap) -> bool {
     match version {
