Claim idempotency keys by a conditional row of the platform's table

Cause: claims were granted by more than half of a key's holders, which are hosts that keep nothing. What has to be agreed on is to go through the store.

Ruled out: mending the electorate (its promise rests on what hosts remember); dropping keys altogether (a caller that sends again would be recognised nowhere).

The promise now: where a profile sets claims (off by default), a call under a key runs only once its row, which must not have been there, is written; while the store gives no certain answer such calls are refused as no-claim and never run. Without claims the promise is that of one call on one host, as before.

A host that has just started now knows old keys.

--- a/crates/basilhaven-bench/src/cluster.rs
+++ b/crates/basilhaven-bench/src/cluster.rs
@@ -143,10 +143,6 @@
         all.extend(["--name".to_owned(), name.to_owned()]);
         all.extend(["--data-centre".to_owned(), data_centre.to_owned()]);
         all.extend_from_slice(args);
-        if !args.iter().any(|arg| arg == "--vouch-after-ms") {
-            // The hosts of a cluster are the first that ever ran.
-            all.extend(["--vouch-after-ms", "0"].map(str::to_owned));
-        }
         let env = [("BASILHAVEN_PEER_KEY", PEER_KEY), ("BASILHAVEN_OPERATOR_KEY", OPERATOR_KEY)];
         let process = Process::start(&process::program("basilhavend"), &all, &env).await;
         let callers = process.ready("callers");
--- a/crates/basilhaven-bench/src/experiment/at_most_once.rs
+++ b/crates/basilhaven-bench/src/experiment/at_most_once.rs
@@ -183,10 +183,8 @@
     let losing =
         platform::Control { down: Some(false), lose_answers: Some(1.0), ..Default::default() };
     setup.platform.control(&losing).await;
-    // A new run of the host knows nothing of the claims that the last one held.
     let mut args = setup.args.clone();
     args.extend(["--seed".to_owned(), setup.daemons[0].peer.to_string()]);
-    args.extend(["--vouch-after-ms".to_owned(), "720000".to_owned()]);
     let name = setup.daemons[HOSTS - 2].name.clone();
     let again = Daemon::start(&name, "bergamo-c", &args).await;
     at(6_500).await;
--- a/crates/basilhaven-bench/tests/fuzz.rs
+++ b/crates/basilhaven-bench/tests/fuzz.rs
@@ -51,7 +51,7 @@
     r#"{"back": {"upstream": "a"}}"#,
     r#"{"out": {"data-centre": "torino-b"}}"#,
     r#"{"back": {"data-centre": "torino-b"}}"#,
-    r#"{"set-profile": ["default", {"policy": "least-in-flight"}]}"#,
+    r#"{"set-profile": ["default", {"policy": "least-in-flight", "claims": true}]}"#,
 ];
 
 impl Arbitrary for Step {
@@ -132,6 +132,7 @@
 fn scenario(steps: &[Step]) -> String {
     let mut text = String::new();
     stanza(&mut text, "platform");
+    stanza(&mut text, "configure\n{\"profiles\": {\"default\": {\"claims\": true}}}");
     stanza(&mut text, "upstreams service=catalogo names=(a,b) data_centre=milano-a");
     stanza(&mut text, "upstreams service=catalogo names=(c,d) data_centre=torino-b");
     stanza(&mut text, "daemons data_centres=(milano-a,torino-b,bergamo-c)");
--- a/crates/basilhaven/src/commit.rs
+++ b/crates/basilhaven/src/commit.rs
@@ -366,6 +366,47 @@
     Ok(revision + 1)
 }
 
+/// Writes a row that must not be there, for a change whose id no other change has; returns its revision.
+///
+/// # Errors
+///
+/// [`Error::Raced`]: another change made the row. Otherwise it is not known to be written.
+pub async fn write_once(
+    platform: &platform::Client,
+    key: &str,
+    change: call::Id,
+    until: Instant,
+) -> Result<u64, Error> {
+    let stamp = stamp::Stamp { change, past: Vec::new() };
+    write_settled(platform, write_of(key, 0, &stamp), Vec::new(), change, until).await
+}
+
+/// Removes a row that is at revision `expect`; one that was changed since stays.
+///
+/// # Errors
+///
+/// The platform gave no answer until then.
+pub async fn remove_once(
+    platform: &platform::Client,
+    key: &str,
+    expect: u64,
+    until: Instant,
+) -> Result<(), Error> {
+    let write = platform::Write { key: key.to_owned(), expect, value: serde_json::Value::Null };
+    let transaction = platform::Transaction { writes: vec![write], checks: Vec::new() };
+    for attempt in 0.. {
+        // A row at another revision was removed by an earlier try, or is another call's.
+        if platform.transact(&transaction).await.is_ok() {
+            return Ok(());
+        }
+        if Instant::now() >= until {
+            break;
+        }
+        monoio::time::sleep(pause(attempt)).await;
+    }
+    Err(Error::Unavailable)
+}
+
 fn write_of<T>(key: &str, expect: u64, value: &T) -> platform::Write
 where
     T: Serialize,
--- a/crates/basilhaven/src/daemon.rs
+++ b/crates/basilhaven/src/daemon.rs
@@ -9,7 +9,6 @@
 use monoio::net::udp::UdpSocket;
 use monoio::net::{TcpListener, UnixStream};
 
-use crate::claim::handover;
 use crate::moves::steering;
 use crate::{
     admin, entry, failure, finding, homes, log, member, node, peer, replica, settings, sync,
@@ -21,9 +20,6 @@
 /// How long it may take until every other host has heard that this one leaves.
 const LEAVE_MARGIN: Duration = Duration::from_secs(1);
 
-/// How long a stopping host waits until the others have taken over its claims.
-const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Ports from the operating system that are tried for peers.
 const PORT_TRIES: usize = 16;
 
@@ -81,7 +77,6 @@
     monoio::spawn(failure::probe_all(Rc::clone(&node), Rc::clone(&peers)));
     monoio::spawn(failure::revive_all(Rc::clone(&node), Rc::clone(&peers)));
     monoio::spawn(failure::exchange_all(Rc::clone(&node)));
-    monoio::spawn(handover::take_all(Rc::clone(&node)));
     monoio::spawn(sync::poll(Rc::clone(&node)));
     monoio::spawn(sync::start(Rc::clone(&node)));
     monoio::spawn(sync::spread(Rc::clone(&node)));
@@ -139,16 +134,11 @@
     let _ = stop.read(vec![0; 1]).await;
     node.members().leave();
     tracing::info!(event = "leaving", host = %node.settings().name);
-    handover::start(node);
-    let hand_over_until = Instant::now() + HAND_OVER_TIMEOUT;
     let graceful = async {
         monoio::time::sleep(node.settings().entry_ttl + LEAVE_MARGIN).await;
         tracing::info!(event = "closing", connections = node.open_connections().get());
         node.close();
         drain(node).await;
-        while !handover::is_done(node) && Instant::now() < hand_over_until {
-            monoio::time::sleep(DRAIN_STEP).await;
-        }
     };
     let again = std::pin::pin!(stop.read(vec![0; 1]));
     futures_util::future::select(std::pin::pin!(graceful), again).await;
--- a/crates/basilhaven/src/entry/forward.rs
+++ b/crates/basilhaven/src/entry/forward.rs
@@ -77,9 +77,10 @@
     let delivery = delivery::Delivery { key, service: &service, call: &call, request: &request };
     let result = delivery.run(conn, &mut upload, next).await;
     record(&service, &call, started, &result);
-    if let (Some(won), Err(failure)) = (won, &result) {
-        if failure.is_not_run() {
-            won.release(node).await;
+    if let Some(won) = won {
+        match &result {
+            Err(failure) if failure.is_not_run() => won.release(node),
+            _ => won.keep(node),
         }
     }
     let next_unless_cut = |next| if upload.rest.is_done() { next } else { Next::Close };
@@ -141,15 +142,15 @@
     BadKey(http1::Error),
 }
 
-/// Wins the key of a call that runs at most once; `None` for calls that need none.
+/// Wins the key of a call that runs at most once; `None` for calls that need none or whose profile asks
+/// for no claims.
 async fn claim_key(
     node: &Rc<node::Node>,
     service: &service::Service,
     call: &call::Call,
     request: &head::Request,
 ) -> Result<Option<claim::Won>, Unclaimed> {
-    let profile = service.profile();
-    if call.idempotency == profile::Idempotency::Idempotent || !profile.claims {
+    if call.idempotency == profile::Idempotency::Idempotent {
         return Ok(None);
     }
     let mut keys = request.parts.headers.get_all(call::field::KEY).iter();
@@ -159,6 +160,10 @@
     let Some(digest) = digest else {
         return Err(Unclaimed::BadKey(http1::Error::malformed("bad idempotency-key")));
     };
+    let profile = service.profile();
+    if !profile.claims {
+        return Ok(None);
+    }
     let won = claim::win(node, digest, call, profile.timeout).await;
     won.map(Some).map_err(Unclaimed::Refused)
 }
--- a/crates/basilhaven/src/node.rs
+++ b/crates/basilhaven/src/node.rs
@@ -7,8 +7,8 @@
 
 use crate::moves::{brake, steering};
 use crate::{
-    budget, claim, config, directory, failure, homes, member, name, platform, replica, service,
-    settings, sync,
+    budget, config, directory, failure, homes, member, name, platform, replica, service, settings,
+    sync,
 };
 
 /// Bytes that a host may send for control, in a second.
@@ -33,7 +33,6 @@
     steering: steering::Desk,
     open_connections: Cell<usize>,
     closing: local_sync::semaphore::Semaphore,
-    claims: claim::Claims,
 }
 
 impl Node {
@@ -42,7 +41,6 @@
         let hosts = config::Hosts { upstreams: settings.upstreams.clone(), entries: Vec::new() };
         let rows = replica::Rows::new(settings.document.clone(), hosts);
         let node = Rc::new(Node {
-            claims: claim::Claims::new(settings.vouch_after),
             platform: settings.platform.map(platform::Client::new),
             settings,
             members: member::Table::new(own),
@@ -121,11 +119,6 @@
         self.services.borrow().values().cloned().collect()
     }
 
-    /// The claims on idempotency keys.
-    pub fn claims(&self) -> &claim::Claims {
-        &self.claims
-    }
-
     /// Callers' connections that are open now.
     pub fn open_connections(&self) -> &Cell<usize> {
         &self.open_connections
--- a/crates/basilhaven/src/peer.rs
+++ b/crates/basilhaven/src/peer.rs
@@ -8,7 +8,7 @@
 use monoio::net::udp::UdpSocket;
 use monoio::net::TcpStream;
 
-use crate::{claim, failure, gossip, member, node, sync, wire};
+use crate::{failure, gossip, member, node, sync, wire};
 
 /// Hosts that are told at once when something urgent is learnt.
 const FANOUT: usize = 4;
@@ -92,19 +92,6 @@
     let _ = socket.send_to(bytes, target).await;
 }
 
-/// Sends one frame on behalf of a call; such frames are no control traffic, for they grow with calls.
-pub async fn send_call_frame(
-    node: &node::Node,
-    socket: &UdpSocket,
-    frame: &wire::Frame,
-    target: SocketAddr,
-) {
-    let Some(bytes) = encode(node, frame) else { return };
-    metrics::counter!("basilhaven_call_bytes_total").increment(bytes.len() as u64);
-    // A lost frame is sent again when no answer comes.
-    let _ = socket.send_to(bytes, target).await;
-}
-
 /// A frame as bytes; one that is too large is a fault of this program, and is logged.
 fn encode(node: &node::Node, frame: &wire::Frame) -> Option<Vec<u8>> {
     match frame.encode(&node.settings().peer_key) {
@@ -122,7 +109,6 @@
 ///
 /// The socket failed.
 pub async fn receive(node: Rc<node::Node>, socket: Rc<UdpSocket>) -> io::Result<()> {
-    node.claims().use_socket(Rc::clone(&socket));
     let mut buffer = vec![0; wire::MAX_LEN + 1];
     loop {
         let (result, returned) = socket.recv_from(buffer).await;
@@ -155,7 +141,6 @@
         }
         wire::Frame::Evidence(digest) => node.steering().take(node, digest),
         wire::Frame::Brake(brake) => node.stop_move(brake),
-        frame => claim::take(node, frame).await,
     }
 }
 
--- a/crates/basilhaven/src/profile.rs
+++ b/crates/basilhaven/src/profile.rs
@@ -110,8 +110,8 @@
     pub retry_budget_percent: u8,
     /// Hedged attempts per 100 calls that the service may spend; 0 switches hedging off.
     pub hedge_budget_percent: u8,
-    /// Whether a call that runs at most once does so over all hosts, when it has an idempotency key; if
-    /// not, only on the host that it was sent to.
+    /// Whether a call that runs at most once does so over all hosts, when it has an idempotency key; each
+    /// such call then writes a row of the platform's table. If not, it does on the host that it was sent to.
     pub claims: bool,
     /// How long an upstream that was out takes to get its usual share of the calls again, in
     /// milliseconds; 0 gives it all at once.
@@ -138,7 +138,7 @@
             retries: 2,
             retry_budget_percent: 10,
             hedge_budget_percent: 2,
-            claims: true,
+            claims: false,
             return_ramp: Duration::from_secs(10),
             connections: 200,
             routes: Vec::new(),
--- a/crates/basilhaven/src/settings.rs
+++ b/crates/basilhaven/src/settings.rs
@@ -61,9 +61,6 @@
     /// Callers' connections at one time, at most
     #[bpaf(long, env("BASILHAVEN_MAX_CONNECTIONS"), argument("N"), fallback("20000".to_owned()))]
     pub max_connections: String,
-    /// How long after its start this host vouches for no idempotency key, in milliseconds; 0 only when no host of the system ran before [default: as long as a key is remembered]
-    #[bpaf(long, env("BASILHAVEN_VOUCH_AFTER_MS"), argument("MS"))]
-    pub vouch_after_ms: Option<String>,
     /// What is logged: error, warn, info or debug; placement decisions are at info
     #[bpaf(long, env("BASILHAVEN_LOG"), argument("LEVEL"), fallback("info".to_owned()))]
     pub log: String,
@@ -102,8 +99,6 @@
     pub drain: Duration,
     /// Callers' connections at one time, at most.
     pub max_connections: usize,
-    /// How long after its start this host vouches for no idempotency key, when set.
-    pub vouch_after: Option<Duration>,
     /// What is logged.
     pub log: Level,
 }
@@ -198,9 +193,6 @@
         let drain = millis(&mut findings, "--drain-ms", &raw.drain_ms, 0..=600_000);
         let max_connections =
             number(&mut findings, "--max-connections", &raw.max_connections, 1..=1_000_000);
-        let vouch_after = raw
-            .vouch_after_ms
-            .map(|raw| millis(&mut findings, "--vouch-after-ms", &raw, 0..=720_000));
         let log = findings.keep("--log", Level::try_from(&*raw.log));
         if peer_key.is_none() && (!seeds.is_empty() || platform.is_some()) {
             findings.add("--peer-key-file", "hosts that know each other need a key to share");
@@ -223,7 +215,6 @@
             entry_ttl,
             drain,
             max_connections: max_connections as usize,
-            vouch_after,
             log: log.unwrap_or(Level::Info),
         })
     }
--- a/crates/basilhaven/src/sync.rs
+++ b/crates/basilhaven/src/sync.rs
@@ -10,7 +10,6 @@
 use monoio::io::{AsyncReadRentExt as _, AsyncWriteRentExt as _};
 use monoio::net::{TcpListener, TcpStream};
 
-use crate::claim::handover;
 use crate::{commit, config, difference, finding, node, peer, platform, replica, wire};
 
 /// The longest mean time between two polls of a row while the platform gives no answer.
@@ -432,13 +431,11 @@
         wire::Message::Exchange(asker) => {
             write_message(node, stream, &peer::answer_exchange(node, asker)).await
         }
-        wire::Message::AskClaims(request) => handover::give(node, stream, request).await,
         wire::Message::Ask(_)
         | wire::Message::AskHosts(_)
         | wire::Message::Copy(_)
         | wire::Message::Difference(_)
-        | wire::Message::View(_)
-        | wire::Message::Claims(_) => Ok(()),
+        | wire::Message::View(_) => Ok(()),
     }
 }
 
--- a/crates/basilhaven/src/wire.rs
+++ b/crates/basilhaven/src/wire.rs
@@ -4,12 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::claim::handover;
 use crate::moves::{brake, evidence};
-use crate::{call, claim, difference, gossip, member, name, replica};
+use crate::{call, difference, gossip, member, name, replica};
 
 /// The first byte of every frame; a host drops frames of other versions.
-pub const VERSION: u8 = 3;
+pub const VERSION: u8 = 4;
 
 /// The largest frame, in bytes; it fits one datagram on any network.
 pub const MAX_LEN: usize = 1200;
@@ -29,12 +28,6 @@
     Evidence(evidence::Digest),
     /// A move is stopped.
     Brake(brake::Brake),
-    /// Asks for an idempotency key.
-    Ask(claim::Ask),
-    /// Answers such a question.
-    Answer(claim::Answer),
-    /// Lets go of an idempotency key.
-    Release(claim::Release),
     /// Which upstreams of a service are cold.
     Warmth {
         /// The service.
@@ -94,10 +87,6 @@
     AskHosts(u64),
     /// What has changed of the list of hosts since the revision that was named.
     Difference(difference::Difference),
-    /// Asks for the claims of a host that leaves.
-    AskClaims(handover::Request),
-    /// Gives a part of them.
-    Claims(handover::Part),
 }
 
 /// The hosts as one of them sees them.
