Pass on only rows that say something new, and whole lists only where changes lack

A watcher passed every row that it read on to each follower, and sent the whole list whenever its revision had moved on with no batch kept.

With every row taken for news, two of the four new tests fail.

--- a/crates/basilhaven/src/gateway/cold.rs
+++ b/crates/basilhaven/src/gateway/cold.rs
@@ -45,9 +45,14 @@
         }
     }
 
+    /// How much longer it is cold.
+    pub fn left(&self, now: Instant) -> Duration {
+        self.until.get().map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
     /// Whether it is cold.
     pub fn is_cold(&self, now: Instant) -> bool {
-        self.until.get().is_some_and(|until| now < until)
+        !self.left(now).is_zero()
     }
 
     /// Notes that this host is one of `hosts` that share `rate` calls a second.
--- a/crates/basilhaven/src/gateway/journal.rs
+++ b/crates/basilhaven/src/gateway/journal.rs
@@ -13,8 +13,6 @@
 /// Changes that came together.
 #[derive(Debug, Clone)]
 pub struct Batch {
-    /// The revision before them.
-    pub after: u64,
     /// The revision with them.
     pub revision: u64,
     /// The changes.
@@ -27,6 +25,8 @@
     revision: Cell<u64>,
     confirmed: Cell<Option<Instant>>,
     batches: RefCell<VecDeque<Batch>>,
+    /// The revision from which on all changes are among the batches.
+    complete_since: Cell<u64>,
     /// Notified at each batch.
     pub changed: signal::Signal,
 }
@@ -52,35 +52,34 @@
     /// Notes that the part has been read whole.
     pub fn restart(&self, revision: u64) {
         self.batches.borrow_mut().clear();
+        self.complete_since.set(revision);
         self.revision.set(revision);
         self.changed.notify();
     }
 
-    /// Adds changes that came after what is known.
+    /// Adds changes that came after what is known; there may be none up to a revision.
     pub fn add(&self, revision: u64, items: Vec<store::Change>) {
-        let after = self.revision.replace(revision);
+        self.revision.set(revision);
         if items.is_empty() {
             return;
         }
         let mut batches = self.batches.borrow_mut();
         if batches.len() == MAX_BATCHES {
-            batches.pop_front();
+            if let Some(dropped) = batches.pop_front() {
+                self.complete_since.set(dropped.revision);
+            }
         }
-        batches.push_back(Batch { after, revision, items: Rc::new(items) });
+        batches.push_back(Batch { revision, items: Rc::new(items) });
         drop(batches);
         self.changed.notify();
     }
 
     /// The changes after a revision; `None` when they are no longer all known.
     pub fn since(&self, revision: u64) -> Option<Vec<Batch>> {
-        if revision >= self.revision.get() {
-            return Some(Vec::new());
-        }
-        let batches = self.batches.borrow();
-        let oldest = batches.front().map(|batch| batch.after);
-        if oldest.is_none_or(|oldest| oldest > revision) {
+        if revision < self.complete_since.get() {
             return None;
         }
+        let batches = self.batches.borrow();
         Some(batches.iter().filter(|batch| batch.revision > revision).cloned().collect())
     }
 }
--- a/crates/basilhaven/src/gateway/news.rs
+++ b/crates/basilhaven/src/gateway/news.rs
@@ -142,7 +142,7 @@
     /// All of a part, as it is known.
     pub fn whole(&self, source: store::Source) -> Vec<store::Change> {
         match source {
-            store::Source::Upstreams => self.registry.listed(),
+            store::Source::Upstreams => self.registry.listed(Instant::now()),
             _ => {
                 let config = self.book.table().map(store::Change::Config);
                 let evacuations = self.registry.evacuations().into_iter();
@@ -175,12 +175,22 @@
                 journal.restart(revision);
             }
             false => {
+                let items: Vec<store::Change> =
+                    items.into_iter().filter(|item| self.is_news(item, now)).collect();
                 self.apply(items.clone(), now);
                 journal.add(revision, items);
             }
         }
     }
 
+    /// Whether a row says more than is known; most rows are heartbeats of upstreams, which do not.
+    fn is_news(&self, item: &store::Change, now: Instant) -> bool {
+        match item {
+            store::Change::Upstream { id, entry } => self.registry.is_news(id, entry.as_ref(), now),
+            _ => true,
+        }
+    }
+
     /// Takes in rows that have changed.
     fn apply(&self, items: Vec<store::Change>, now: Instant) {
         for item in items {
--- a/crates/basilhaven/src/gateway/registry.rs
+++ b/crates/basilhaven/src/gateway/registry.rs
@@ -61,6 +61,15 @@
         self.changed.notify();
     }
 
+    /// Whether an entry, or that there is none under this id, says more than is known.
+    pub fn is_news(&self, id: &str, entry: Option<&upstream::Entry>, now: Instant) -> bool {
+        match (self.upstreams.borrow().get(id), entry) {
+            (Some(known), Some(entry)) => known.is_news(entry, now),
+            (Some(known), None) => known.gone_since().is_none(),
+            (None, entry) => entry.is_some(),
+        }
+    }
+
     /// Takes in the whole list: what is not in it is gone.
     pub fn replace(&self, entries: Vec<(Rc<str>, Option<upstream::Entry>)>, now: Instant) {
         let listed: IndexSet<Rc<str>> =
@@ -110,12 +119,12 @@
     }
 
     /// The list as it is known, without what is missing from it.
-    pub fn listed(&self) -> Vec<store::Change> {
+    pub fn listed(&self, now: Instant) -> Vec<store::Change> {
         let upstreams = self.upstreams.borrow();
         let listed = upstreams.values().filter(|u| u.gone_since().is_none());
         let change = |u: &Rc<upstream::Upstream>| store::Change::Upstream {
             id: Rc::clone(&u.id),
-            entry: Some(u.entry().clone()),
+            entry: Some(upstream::Entry { cold_left: u.cold_left(now), ..u.entry().clone() }),
         };
         listed.map(change).collect()
     }
--- a/crates/basilhaven/src/gateway/upstream.rs
+++ b/crates/basilhaven/src/gateway/upstream.rs
@@ -28,6 +28,10 @@
 /// What a good answer takes off the failures.
 const SUCCESS_CREDIT: f64 = 0.5;
 
+/// How far two reports of the rest of a cold start may differ that mean the same: the time that a row
+/// takes from an upstream through the store to a host.
+const COLD_TOLERANCE: Duration = Duration::from_millis(800);
+
 /// What an upstream says of itself in the store.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
@@ -116,6 +120,20 @@
         self.entry.borrow()
     }
 
+    /// Whether an entry says more than is known of it: not if only the rest of its cold start has become
+    /// shorter with time.
+    pub fn is_news(&self, entry: &Entry, now: Instant) -> bool {
+        let known = self.entry.borrow();
+        let is_same = Entry { cold_left: known.cold_left, ..entry.clone() } == *known;
+        let is_expected = entry.cold_left.abs_diff(self.cold_left(now)) <= COLD_TOLERANCE;
+        !is_same || self.gone_since.get().is_some() || !entry.cold_left.is_zero() && !is_expected
+    }
+
+    /// How much longer it is cold.
+    pub fn cold_left(&self, now: Instant) -> Duration {
+        self.warmup.left(now)
+    }
+
     /// Takes in what it newly says of itself.
     pub fn update(&self, entry: Entry, now: Instant) {
         let moved = {
--- a/crates/basilhaven/tests/gateway/news.rs
+++ b/crates/basilhaven/tests/gateway/news.rs
@@ -115,3 +115,75 @@
     assert!(journal.since(14).is_some_and(|batches| batches.is_empty()));
     assert!(journal.since(9).is_none(), "what came before 10 is not known");
 }
+
+fn cold(id: &str, cold_left: Duration) -> Change {
+    let entry = upstream::Entry { cold_left, ..entry("catalogo", "v1", "a") };
+    Change::Upstream { id: id.into(), entry: Some(entry) }
+}
+
+/// How many changes a host that knows the list up to `revision` would be sent; `None` for all of it.
+fn sent(desk: &Desk, revision: u64) -> Option<usize> {
+    let batches = desk.journal(Source::Upstreams).since(revision)?;
+    Some(batches.iter().map(|batch| batch.items.len()).sum())
+}
+
+#[test]
+fn a_heartbeat_that_changes_nothing_is_not_passed_on() {
+    let (desk, now) = (desk(), Instant::now());
+    desk.take(Source::Upstreams, true, 1, vec![listed("u1"), listed("u2")], now);
+    for revision in 2..200 {
+        desk.take(Source::Upstreams, false, revision, vec![listed("u1"), listed("u2")], now);
+    }
+    assert_eq!(desk.journal(Source::Upstreams).revision(), 199);
+    assert_eq!(sent(&desk, 1), Some(0));
+    assert_eq!(sent(&desk, 0), None, "a host that knows nothing is sent all of it");
+    let gone = Change::Upstream { id: "u1".into(), entry: None };
+    desk.take(Source::Upstreams, false, 200, vec![gone.clone(), listed("u2")], now);
+    desk.take(Source::Upstreams, false, 201, vec![gone], now);
+    assert_eq!(sent(&desk, 1), Some(1));
+    desk.take(Source::Upstreams, false, 202, vec![listed("u1")], now);
+    assert_eq!(sent(&desk, 201), Some(1), "an entry that is back is news");
+    assert_eq!(open(&desk.registry, now), 2);
+}
+
+#[test]
+fn a_host_is_sent_the_whole_list_once_the_changes_that_it_lacks_are_dropped() {
+    let (desk, now) = (desk(), Instant::now());
+    desk.take(Source::Upstreams, true, 1, vec![], now);
+    for revision in 2..100 {
+        desk.take(Source::Upstreams, false, revision, vec![listed(&revision.to_string())], now);
+    }
+    assert_eq!(sent(&desk, 90), Some(9));
+    assert_eq!(sent(&desk, 2), None);
+}
+
+#[test]
+fn an_upstream_that_turns_cold_again_is_news_and_one_that_warms_up_as_expected_is_none() {
+    let (desk, start) = (desk(), Instant::now());
+    let at = |ms| start + Duration::from_millis(ms);
+    let beat = |revision, left, ms| {
+        let change = cold("u1", Duration::from_millis(left));
+        desk.take(Source::Upstreams, false, revision, vec![change], at(ms));
+    };
+    desk.take(Source::Upstreams, true, 1, vec![cold("u1", Duration::from_secs(3))], at(0));
+    beat(2, 1_500, 1_480);
+    assert_eq!(sent(&desk, 1), Some(0));
+    beat(3, 0, 3_100);
+    assert_eq!(sent(&desk, 1), Some(0));
+    beat(4, 3_000, 6_000);
+    assert_eq!(sent(&desk, 1), Some(1));
+    let upstream = desk.registry.of_service("catalogo").remove(0);
+    assert_eq!(upstream.cold_left(at(7_000)), Duration::from_secs(2));
+}
+
+#[test]
+fn a_list_that_is_passed_on_says_how_long_upstreams_stay_cold_from_now_on() {
+    let (desk, start) = (desk(), Instant::now());
+    desk.take(Source::Upstreams, true, 1, vec![cold("u1", Duration::from_secs(3))], start);
+    let later = start + Duration::from_millis(2_000);
+    let listed = desk.registry.listed(later);
+    let [Change::Upstream { entry: Some(entry), .. }] = &listed[..] else {
+        panic!("one entry: {listed:?}")
+    };
+    assert_eq!(entry.cold_left, Duration::from_secs(1));
+}
