Send calls to a subset of 24 upstreams of a service on each host

Cause: on the grown sites a host gets 5 calls a second and asked any 6 of 268 upstreams, so that connections were idle for longer than they are kept: 63,402 new ones for 19,579 calls.

Ruled out: keeping them longer; upstreams close theirs. Rendezvous hashing; it gives some upstreams three times the hosts of others (computed).

A call that finds no room looks among twice as many.

--- a/crates/basilhaven/src/gateway/choice.rs
+++ b/crates/basilhaven/src/gateway/choice.rs
@@ -52,6 +52,26 @@
     upstream.occupancy() < upstream.slots()
 }
 
+/// The `count` candidates that a host at `point` of a ring sends its calls to while these have room:
+/// those that follow it on the ring, and all cold ones, which each host may use in its turn.
+///
+/// The load that this answers: so many hosts and upstreams that a host would send to each upstream less often
+/// than connections are kept. Points spread evenly over the hosts give all upstreams about as many hosts.
+pub fn subset(
+    mut candidates: Vec<&Rc<upstream::Upstream>>,
+    point: u64,
+    count: usize,
+    now: Instant,
+) -> Vec<&Rc<upstream::Upstream>> {
+    if candidates.len() > count {
+        let place = |u: &&Rc<upstream::Upstream>| (!u.is_cold(now), u.point().wrapping_sub(point));
+        candidates.sort_by_cached_key(place);
+        let cold = candidates.iter().take_while(|u| u.is_cold(now)).count();
+        candidates.truncate(cold + count);
+    }
+    candidates
+}
+
 /// The `count` candidates that are asked for their load: those with the fewest calls of this host
 /// and failures first, equals in random order.
 pub fn draw<'a>(
--- a/crates/basilhaven/src/gateway/place.rs
+++ b/crates/basilhaven/src/gateway/place.rs
@@ -11,6 +11,13 @@
 /// Upstreams that are asked for their load for one call.
 const PROBES: usize = 6;
 
+/// Upstreams of a service to which a host sends its calls while one of them takes them; with fewer, hosts
+/// that get more calls than others find their upstreams full.
+const SUBSET: usize = 24;
+
+/// Looks after which a call looks among all upstreams; each look doubles the number.
+const MAX_DOUBLINGS: u32 = 8;
+
 /// Load reports younger than this serve another call without a new probe.
 const FRESH: Duration = Duration::from_millis(3);
 
@@ -228,10 +235,13 @@
     pub async fn place(&self, need: &Need<'_>, service: &route::Service) -> Result<Lease, Refusal> {
         let queue = self.queue(need.service);
         let ticket = Ticket::new(&queue, need);
+        let mut looks = 0;
         loop {
             let freed = queue.freed.count();
             if ticket.may_look(Instant::now()) {
-                match self.look(need, service, &queue).await {
+                let among = SUBSET << looks.min(MAX_DOUBLINGS);
+                looks += 1;
+                match self.look(need, service, &queue, among).await {
                     Ok(lease) => return Ok(lease),
                     // Nothing is gained by waiting for an upstream that is not there.
                     Err(Refusal::NoUpstream) => return Err(Refusal::NoUpstream),
@@ -247,12 +257,13 @@
         }
     }
 
-    /// Asks some upstreams for their load and takes the best that has room.
+    /// Asks some of `among` upstreams for their load and takes the best that has room.
     async fn look(
         &self,
         need: &Need<'_>,
         service: &route::Service,
         queue: &Rc<Queue>,
+        among: usize,
     ) -> Result<Lease, Refusal> {
         let all = self.registry.of_service(need.service);
         let now = Instant::now();
@@ -266,6 +277,7 @@
         let fresh: Vec<_> = open.iter().copied().filter(|u| !need.tried.contains(&u.id)).collect();
         let open = if fresh.is_empty() { open } else { fresh };
         let admitted: Vec<_> = open.into_iter().filter(|u| u.warmup.admits(now)).collect();
+        let admitted = choice::subset(admitted, self.members.point(now), among, now);
         let asked = choice::draw(&admitted, PROBES, now);
         self.ask(&asked, service).await;
         let now = Instant::now();
--- a/crates/basilhaven/src/gateway/upstream.rs
+++ b/crates/basilhaven/src/gateway/upstream.rs
@@ -75,6 +75,7 @@
 pub struct Upstream {
     /// Its id.
     pub id: Rc<str>,
+    point: u64,
     entry: RefCell<Entry>,
     in_flight: Cell<u32>,
     report: Cell<Option<Report>>,
@@ -95,6 +96,7 @@
     /// An upstream that has just become known.
     pub fn new(id: Rc<str>, entry: Entry, now: Instant) -> Upstream {
         let upstream = Upstream {
+            point: rapidhash::v3::rapidhash_v3(id.as_bytes()),
             id,
             in_flight: Cell::default(),
             report: Cell::default(),
@@ -129,6 +131,16 @@
         !is_same || self.gone_since.get().is_some() || !entry.cold_left.is_zero() && !is_expected
     }
 
+    /// Its point on the ring by which hosts choose upstreams.
+    pub fn point(&self) -> u64 {
+        self.point
+    }
+
+    /// Whether it is cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.warmup.is_cold(now)
+    }
+
     /// How much longer it is cold.
     pub fn cold_left(&self, now: Instant) -> Duration {
         self.warmup.left(now)
