--- a/crates/basilhaven/src/gateway/cluster.rs
+++ b/crates/basilhaven/src/gateway/cluster.rs
@@ -289,16 +289,15 @@
 
     /// This host's point on the ring of upstreams; those of the live hosts are evenly spread.
     pub fn point(&self, now: Instant) -> u64 {
-        let place =
-            |peer: SocketAddr| (rapidhash::v3::rapidhash_v3(peer.to_string().as_bytes()), peer);
-        let own = place(self.own.get().peer());
+        let place = |pulse: &Pulse| (rapidhash::v3::rapidhash_v3(&pulse.address), pulse.peer());
+        let own = place(&self.own.get());
         let dead_after = self.dead_after();
         let heard = self.heard.borrow();
         let live = heard.values().filter(|h| now.saturating_duration_since(h.at) <= dead_after);
         let (mut before, mut hosts) = (0, 1);
         for other in live {
             hosts += 1;
-            before += u64::from(place(other.pulse.peer()) < own);
+            before += u64::from(place(&other.pulse) < own);
         }
         before * (u64::MAX / hosts)
     }
--- a/crates/basilhaven/src/gateway/place.rs
+++ b/crates/basilhaven/src/gateway/place.rs
@@ -13,7 +13,7 @@
 
 /// Upstreams of a service to which a host sends its calls while one of them takes them; with fewer, hosts
 /// that get more calls than others find their upstreams full.
-const SUBSET: usize = 24;
+const SUBSET: usize = 32;
 
 /// Looks after which a call looks among all upstreams; each look doubles the number.
 const MAX_DOUBLINGS: u32 = 8;
