--- a/crates/basilhaven/src/gateway/choice.rs
+++ b/crates/basilhaven/src/gateway/choice.rs
@@ -52,24 +52,31 @@
     upstream.occupancy() < upstream.slots()
 }
 
-/// The `count` candidates that a host at `point` of a ring sends its calls to while these have room:
-/// those that follow it on the ring, and all cold ones, which each host may use in its turn.
+/// The `count` candidates that a host sends its calls to while these have room, and all cold ones, which
+/// each host may use in its turn.
 ///
 /// The load that this answers: so many hosts and upstreams that a host would send to each upstream less often
-/// than connections are kept. Points spread evenly over the hosts give all upstreams about as many hosts.
-pub fn subset(
-    mut candidates: Vec<&Rc<upstream::Upstream>>,
+/// than connections are kept. The candidates are those that follow the host's `point` on a ring, half of
+/// them of its own data centre as far as there are; since points spread evenly over the hosts, all
+/// upstreams get about as many.
+pub fn subset<'a>(
+    mut candidates: Vec<&'a Rc<upstream::Upstream>>,
     point: u64,
+    data_centre: &str,
     count: usize,
     now: Instant,
-) -> Vec<&Rc<upstream::Upstream>> {
-    if candidates.len() > count {
-        let place = |u: &&Rc<upstream::Upstream>| (!u.is_cold(now), u.point().wrapping_sub(point));
-        candidates.sort_by_cached_key(place);
-        let cold = candidates.iter().take_while(|u| u.is_cold(now)).count();
-        candidates.truncate(cold + count);
+) -> Vec<&'a Rc<upstream::Upstream>> {
+    if candidates.len() <= count {
+        return candidates;
     }
-    candidates
+    let (cold, warm): (Vec<_>, Vec<_>) = candidates.drain(..).partition(|u| u.is_cold(now));
+    candidates.extend(warm);
+    candidates.sort_unstable_by_key(|u| u.point().wrapping_sub(point));
+    let (mut near, mut far): (Vec<_>, Vec<_>) =
+        candidates.into_iter().partition(|u| *u.entry().data_centre == *data_centre);
+    near.truncate(count.div_ceil(2).max(count.saturating_sub(far.len())));
+    far.truncate(count - near.len());
+    near.into_iter().chain(far).chain(cold).collect()
 }
 
 /// The `count` candidates that are asked for their load: those with the fewest calls of this host
--- a/crates/basilhaven/src/gateway/place.rs
+++ b/crates/basilhaven/src/gateway/place.rs
@@ -277,7 +277,8 @@
         let fresh: Vec<_> = open.iter().copied().filter(|u| !need.tried.contains(&u.id)).collect();
         let open = if fresh.is_empty() { open } else { fresh };
         let admitted: Vec<_> = open.into_iter().filter(|u| u.warmup.admits(now)).collect();
-        let admitted = choice::subset(admitted, self.members.point(now), among, now);
+        let admitted =
+            choice::subset(admitted, self.members.point(now), &self.data_centre, among, now);
         let asked = choice::draw(&admitted, PROBES, now);
         self.ask(&asked, service).await;
         let now = Instant::now();
