Let a host that starts learn from hosts that serve, not from the store

Ruled out: polling less by watchers; their reads are 93 of the calls.

A host that meets none that serves within 60 ms reads the store as before.

--- a/crates/basilhaven/src/gateway/cluster.rs
+++ b/crates/basilhaven/src/gateway/cluster.rs
@@ -261,6 +261,27 @@
         std::iter::once(self.own.get()).chain(others.iter().map(|h| h.pulse)).collect()
     }
 
+    /// The other hosts that serve: those of this data centre, or else all.
+    pub fn ready(&self, now: Instant) -> Vec<SocketAddr> {
+        let own = self.own.get().data_centre;
+        let mut ready = self.live(now).split_off(1);
+        ready.retain(|pulse| pulse.state == State::Ready);
+        if ready.iter().any(|pulse| pulse.data_centre == own) {
+            ready.retain(|pulse| pulse.data_centre == own);
+        }
+        ready.iter().map(Pulse::peer).collect()
+    }
+
+    /// Whether an address is known at which another host may be.
+    pub fn has_contacts(&self) -> bool {
+        !self.contacts.borrow().is_empty()
+    }
+
+    /// How long this host has been running.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.started)
+    }
+
     /// The hosts that callers may be sent to, those of the caller's data centre first; `None` while this
     /// host may not know the others yet.
     pub fn serving(&self, near: &str, now: Instant) -> Option<Vec<SocketAddr>> {
--- a/crates/basilhaven/src/gateway/news.rs
+++ b/crates/basilhaven/src/gateway/news.rs
@@ -34,6 +34,18 @@
 const AVOID_TIME: Duration = Duration::from_secs(1);
 const AVOID_STORE_TIME: Duration = Duration::from_millis(2500);
 
+/// How long a host that starts waits for one that serves before it asks the store: a round trip between data
+/// centres, and what a busy host takes to answer.
+const MEETING_TIME: Duration = Duration::from_millis(60);
+
+/// The same when the whole system starts and all hosts have to meet: until those that are to watch the store
+/// know each other, and until the others give up waiting for one of these.
+const FIRST_RANKING_TIME: Duration = Duration::from_millis(700);
+const FIRST_MEETING_TIME: Duration = Duration::from_secs(3);
+
+/// Pause between two looks for a host that serves.
+const MEETING_STEP: Duration = Duration::from_millis(20);
+
 /// How often a host that watches the store looks whether that has fallen silent.
 const SILENCE_STEP: Duration = Duration::from_millis(200);
 
@@ -102,12 +114,14 @@
     orders: journal::Journal,
     upstreams: journal::Journal,
     avoided: RefCell<IndexMap<Provider, Instant>>,
+    is_first_start: bool,
 }
 
 impl Desk {
-    /// Nothing known yet, but for the hosts.
-    pub fn new(members: Rc<cluster::Members>) -> Desk {
+    /// Nothing known yet, but for the hosts; with `is_first_start` all of these start now.
+    pub fn new(members: Rc<cluster::Members>, is_first_start: bool) -> Desk {
         Desk {
+            is_first_start,
             book: Rc::default(),
             registry: Rc::default(),
             moves: Rc::default(),
@@ -277,8 +291,10 @@
     fn provider(&self, now: Instant) -> Option<Provider> {
         let store = (!self.is_avoided(Provider::Store, now)).then_some(Provider::Store);
         let watchers = self.members.watchers(now);
-        let is_new = relay::SOURCES.iter().any(|&source| self.journal(source).revision() == 0);
-        if is_new && store.is_some() || watchers.is_own {
+        if self.is_new() {
+            return self.first_provider(store, &watchers, now);
+        }
+        if watchers.is_own {
             return store.or_else(|| self.host_among(&watchers.others, now));
         }
         self.host_among(&watchers.others, now).or_else(|| match watchers.is_reserve {
@@ -287,6 +303,33 @@
         })
     }
 
+    /// Whether this host has yet to learn a part of the store.
+    fn is_new(&self) -> bool {
+        relay::SOURCES.iter().any(|&source| self.journal(source).revision() == 0)
+    }
+
+    /// Where a host that starts gets what it has to know: any host that serves has it, and the store has
+    /// when there is none.
+    fn first_provider(
+        &self,
+        store: Option<Provider>,
+        watchers: &cluster::Watchers,
+        now: Instant,
+    ) -> Option<Provider> {
+        if let Some(host) = self.host_among(&self.members.ready(now), now) {
+            return Some(host);
+        }
+        let wait = match (self.is_first_start, watchers.is_own) {
+            (true, true) => FIRST_RANKING_TIME,
+            (true, false) => FIRST_MEETING_TIME,
+            (false, _) => MEETING_TIME,
+        };
+        if self.members.has_contacts() && self.members.age(now) < wait {
+            return None;
+        }
+        store.or_else(|| self.host_among(&watchers.others, now))
+    }
+
     fn host_among(&self, hosts: &[SocketAddr], now: Instant) -> Option<Provider> {
         let able: Vec<Provider> = hosts.iter().map(|&host| Provider::Host(host)).collect();
         let able: Vec<Provider> =
@@ -302,7 +345,8 @@
 {
     loop {
         let Some(provider) = desk.provider(Instant::now()) else {
-            monoio::time::sleep(FIRST_BACKOFF).await;
+            let pause = if desk.is_new() { MEETING_STEP } else { FIRST_BACKOFF };
+            monoio::time::sleep(pause).await;
             continue;
         };
         let result = match provider {
@@ -329,6 +373,7 @@
 where
     S: store::Store,
 {
+    tracing::info!(event = "watching_store");
     let both = relay::SOURCES.map(|source| Box::pin(watch_part(store, source, desk)));
     let silence = std::pin::pin!(await_silence(desk));
     let result = match future::select(future::select_all(both), silence).await {
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -130,7 +130,7 @@
     for seed in &settings.seeds {
         members.add_contact(SocketAddr::new(seed.ip(), record.peer.port()));
     }
-    let desk = Rc::new(news::Desk::new(Rc::clone(&members)));
+    let desk = Rc::new(news::Desk::new(Rc::clone(&members), settings.first_start));
     desk.moves.set_exposure(settings.exposure_share);
     let front = front(&settings, store.protocol(), &desk);
     let peer = Rc::new(sockets.peer);
@@ -266,7 +266,11 @@
     }
     if desk.members.state() == cluster::State::Starting {
         desk.members.set_state(cluster::State::Ready);
-        cluster::send_beat(&desk, &peer).await;
+        match desk.members.watchers(Instant::now()).is_own {
+            // Hosts that start wait for one that serves.
+            true => cluster::send_to_all(&desk, &peer).await,
+            false => cluster::send_beat(&desk, &peer).await,
+        }
         tracing::info!(event = "ready", upstreams = desk.registry.len());
     }
 }
--- a/crates/basilhaven/src/gateway/settings.rs
+++ b/crates/basilhaven/src/gateway/settings.rs
@@ -46,6 +46,9 @@
     /// Addresses of hosts that may be up, separated by commas; their ports are not used
     #[bpaf(long, env("BASILHAVEN_SEEDS"), argument("ADDRS"), fallback(String::new()))]
     pub seeds: String,
+    /// Whether the whole system starts now, for the first time: true or false
+    #[bpaf(long, env("BASILHAVEN_FIRST_START"), argument("BOOL"), fallback("false".to_owned()))]
+    pub first_start: String,
     /// How long callers may use an answer of the directory, at most, in seconds
     #[bpaf(long, env("BASILHAVEN_ENTRY_TTL_S"), argument("S"), fallback("5".to_owned()))]
     pub entry_ttl_s: String,
@@ -93,6 +96,8 @@
     pub store: SocketAddr,
     /// Addresses of hosts that may be up.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts now, for the first time.
+    pub first_start: bool,
     /// How long callers may use an answer of the directory, at most.
     pub entry_ttl: Duration,
     /// Time from SIGTERM until the process is killed.
@@ -130,6 +135,7 @@
         let store = address("--store", &raw.store);
         let seeds = raw.seeds.split(',').map(str::trim).filter(|seed| !seed.is_empty());
         let seeds: Vec<_> = seeds.filter_map(|seed| address("--seeds", seed)).collect();
+        let first_start = findings.keep("--first-start", raw.first_start.parse::<bool>());
         let mut number = |flag: &str, text: &str| {
             let read = findings.keep(flag, text.parse::<f64>())?;
             let right = read.is_finite() && read >= 0.0;
@@ -157,6 +163,7 @@
                 metrics: metrics?,
                 store: store?,
                 seeds,
+                first_start: first_start?,
                 entry_ttl: Duration::try_from_secs_f64(entry_ttl?).ok()?,
                 grace: Duration::try_from_secs_f64(grace?).ok()?,
                 retry_ratio: retry_ratio?,
--- a/crates/basilhaven/tests/gateway/news.rs
+++ b/crates/basilhaven/tests/gateway/news.rs
@@ -18,7 +18,7 @@
         callers: "10.0.0.1:2".parse().expect("an address"),
         data_centre: "a".into(),
     };
-    Desk::new(Rc::new(Members::new(&record, 1, Instant::now())))
+    Desk::new(Rc::new(Members::new(&record, 1, Instant::now())), false)
 }
 
 fn config(version: u64) -> Change {
