Have the steps of moves read by the host that steers, and by others that hear of none

Cause: each host read the steps at the first order, 108 calls a move, though the host that steers tells all of them.

Young hosts read at once, since after the loss of all hosts nobody may know how far a move has come.

--- a/crates/basilhaven/src/gateway/steer.rs
+++ b/crates/basilhaven/src/gateway/steer.rs
@@ -10,6 +10,13 @@
 /// The pause between two looks at the moves.
 const PAUSE: Duration = Duration::from_millis(150);
 
+/// How long a host that does not steer waits to hear of a move's step before it reads the store: the host
+/// that steers tells all others as soon as it has written one.
+const STEP_PATIENCE: Duration = Duration::from_millis(500);
+
+/// The time after its start in which a host does not wait: the others may have started with it.
+const YOUNG_TIME: Duration = Duration::from_secs(2);
+
 /// Looks at all moves again and again; steers them where it is this host's turn, and tells what it has
 /// seen to the host whose turn it is where not.
 pub async fn watch<S>(store: Rc<S>, desk: Rc<news::Desk>, socket: Rc<UdpSocket>)
@@ -24,11 +31,12 @@
         if orders.is_empty() {
             continue;
         }
-        if !desk.moves.steps_known.get() {
+        let leader = desk.members.leader(now);
+        if !desk.moves.steps_known.get() && needs_steps(&desk, &orders, leader.is_none(), now) {
             news::read_once(&*store, store::Source::Moves, &desk).await;
             continue;
         }
-        let Some(leader) = desk.members.leader(now) else {
+        let Some(leader) = leader else {
             steer(&*store, &desk, &socket).await;
             continue;
         };
@@ -38,6 +46,15 @@
     }
 }
 
+/// Whether this host has to read the steps of moves: to steer them, or since nobody tells it of one.
+fn needs_steps(desk: &news::Desk, orders: &[moves::Status], is_leader: bool, now: Instant) -> bool {
+    let patience = match desk.members.age(now) < YOUNG_TIME {
+        true => Duration::ZERO,
+        false => STEP_PATIENCE,
+    };
+    is_leader || orders.iter().any(|order| order.step.is_none() && order.age >= patience)
+}
+
 async fn steer<S>(store: &S, desk: &news::Desk, socket: &UdpSocket)
 where
     S: store::Store,
