--- a/crates/basilhaven-bench/src/standin/users/store.rs
+++ b/crates/basilhaven-bench/src/standin/users/store.rs
@@ -61,6 +61,7 @@
     history_since: u64,
     mode: Mode,
     calls: u64,
+    whole_reads: Vec<String>,
 }
 
 impl State {
@@ -119,6 +120,7 @@
             history_since: 0,
             mode: Mode::Up,
             calls: 0,
+            whole_reads: Vec::new(),
         };
         let store = Store {
             address: listener.local_addr().expect("a bound socket"),
@@ -201,6 +203,11 @@
         self.lock().calls
     }
 
+    /// The tables that were read whole, one entry a read, in order.
+    pub fn whole_reads(&self) -> Vec<String> {
+        self.lock().whole_reads.clone()
+    }
+
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         while let Some(request) = read_request(&mut stream)? {
@@ -250,7 +257,8 @@
         let table = request.parameter("Table").unwrap_or_default();
         let from = request.parameter("From").unwrap_or_default().replace("%00", "\0");
         let limit = request.parameter("Limit").and_then(|l| l.parse().ok()).unwrap_or(500);
-        let state = self.lock();
+        let mut state = self.lock();
+        state.whole_reads.push(table.to_owned());
         let rows = state.rows.values().filter(|row| row.table == table && *row.key >= *from);
         let mut rows: Vec<&Row> = rows.take(limit + 1).collect();
         let more = rows.len() > limit;
--- a/crates/basilhaven-bench/tests/gateway/hosts.rs
+++ b/crates/basilhaven-bench/tests/gateway/hosts.rs
@@ -82,9 +82,10 @@
         let store = Store::start();
         store.put("op", "config", &config(1, SERVICE));
         let hosts = start_three(&store, 13).await;
-        let is_follower = |host: &&Host| host.process.lines_with("following") > 0;
-        wait_until("one host follows another", || hosts.iter().any(|h| is_follower(&h))).await;
-        let (followers, watchers): (Vec<_>, Vec<_>) = hosts.iter().partition(is_follower);
+        let is_split = || hosts.iter().filter(|host| host.is_watcher()).count() == 2;
+        wait_until("two watch the store and one follows", is_split).await;
+        let (watchers, followers): (Vec<_>, Vec<_>) =
+            hosts.iter().partition(|host| host.is_watcher());
         watchers.iter().for_each(|host| host.process.signal(Signal::Kill));
         store.put("op", "config", &config(2, SERVICE));
         let has = |host: &Host| host.process.lines().iter().any(|line| line["version"] == 2);
@@ -92,6 +93,86 @@
     });
 }
 
+#[test]
+fn a_host_that_joins_learns_from_the_others_and_not_from_the_store() {
+    block_on(async {
+        let store = Store::start();
+        store.put("op", "config", &config(1, SERVICE));
+        let ips: Vec<Ipv4Addr> = (1..=4).map(|n| Ipv4Addr::new(127, 0, 14, n)).collect();
+        let port = free_peer_port(&ips);
+        let seeds = format!("{}:1,{}:1", ips[0], ips[1]);
+        let mut hosts = Vec::new();
+        for ip in &ips[..3] {
+            let host = Host::start(&store, *ip, port, &seeds).await;
+            wait_until("the host is ready", || host.is_ready()).await;
+            hosts.push(host);
+        }
+        let knows_all = || hosts.iter().all(|host| host.resolve().len() == 3);
+        wait_until("all know each other", knows_all).await;
+        let before = store.whole_reads();
+        let last = Host::start(&store, ips[3], port, &seeds).await;
+        wait_until("the last host is ready", || last.is_ready()).await;
+        assert_eq!(store.whole_reads(), before);
+    });
+}
+
+#[test]
+fn hosts_that_all_start_for_the_first_time_leave_the_store_to_those_that_watch_it() {
+    block_on(async {
+        let store = Store::start();
+        store.put("op", "config", &config(1, SERVICE));
+        let ips: Vec<Ipv4Addr> = (1..=8).map(|n| Ipv4Addr::new(127, 0, 15, n)).collect();
+        let port = free_peer_port(&ips);
+        let seeds = format!("{}:1,{}:1,{}:1", ips[0], ips[3], ips[6]);
+        let first = [("BASILHAVEN_FIRST_START", "true")];
+        let mut hosts = Vec::new();
+        for ip in &ips {
+            hosts.push(Host::start_with(&store, *ip, port, &seeds, &first).await);
+        }
+        wait_until("all are ready", || hosts.iter().all(Host::is_ready)).await;
+        let reads = store.whole_reads();
+        let of_upstreams = reads.iter().filter(|table| *table == "servers").count();
+        // Two of them watch the store; one more may take itself for a watcher before it has met all.
+        assert!(of_upstreams <= 3, "{reads:?}");
+    });
+}
+
+#[test]
+fn the_steps_of_a_move_are_read_by_the_host_that_steers_it() {
+    block_on(async {
+        let store = Store::start();
+        store.put("op", "config", &config(1, SERVICE));
+        let hosts = start_three(&store, 17).await;
+        // A host that has just started reads them in any case.
+        monoio::time::sleep(Duration::from_millis(2_100)).await;
+        let order = r#"{"Service": "catalogo", "To": "v2", "RampDurationS": 20}"#;
+        store.put("op", "rollout/catalogo", order);
+        let all_know = || hosts.iter().all(|host| host.process.lines_with("move_step") > 0);
+        wait_until("all know the first step", all_know).await;
+        let reads = store.whole_reads();
+        assert_eq!(reads.iter().filter(|table| *table == "moves").count(), 1, "{reads:?}");
+    });
+}
+
+#[test]
+fn hosts_that_are_all_restarted_do_not_wait_for_each_other() {
+    block_on(async {
+        let store = Store::start();
+        store.put("op", "config", &config(1, SERVICE));
+        let ips = [Ipv4Addr::new(127, 0, 16, 1), Ipv4Addr::new(127, 0, 16, 2)];
+        let port = free_peer_port(&ips);
+        let seeds = format!("{}:1,{}:1,127.0.16.3:1", ips[0], ips[1]);
+        let started = Instant::now();
+        let mut hosts = Vec::new();
+        for ip in ips {
+            hosts.push(Host::start(&store, ip, port, &seeds).await);
+        }
+        wait_until("both are ready", || hosts.iter().all(Host::is_ready)).await;
+        let took = started.elapsed();
+        assert!(took < Duration::from_secs(2), "{took:?} until both were ready");
+    });
+}
+
 #[test]
 fn a_stopping_host_cuts_no_call_and_leaves_the_directory_first() {
     block_on(async {
--- a/crates/basilhaven-bench/tests/gateway/world.rs
+++ b/crates/basilhaven-bench/tests/gateway/world.rs
@@ -63,10 +63,21 @@
 impl Host {
     /// Starts a gateway on an address of the loopback range, and waits until its sockets are open.
     pub async fn start(store: &Store, ip: Ipv4Addr, peer_port: u16, seeds: &str) -> Host {
+        Host::start_with(store, ip, peer_port, seeds, &[]).await
+    }
+
+    /// Starts a gateway with more settings.
+    pub async fn start_with(
+        store: &Store,
+        ip: Ipv4Addr,
+        peer_port: u16,
+        seeds: &str,
+        more: &[(&str, &str)],
+    ) -> Host {
         let any = format!("{ip}:0");
         let peer = format!("{ip}:{peer_port}");
         let store = store.address().to_string();
-        let settings = [
+        let mut settings = vec![
             ("BASILHAVEN_NAME", "host"),
             ("BASILHAVEN_DATA_CENTRE", "a"),
             ("BASILHAVEN_LISTEN", &*any),
@@ -78,6 +89,7 @@
             ("BASILHAVEN_SEEDS", seeds),
             ("BASILHAVEN_GRACE_S", "4"),
         ];
+        settings.extend_from_slice(more);
         let program = process::program("basilhavend");
         let arguments = ["gateway".to_owned()];
         let process = Process::start_until(&program, &arguments, &settings, "started").await;
@@ -98,6 +110,14 @@
         get(self.ready, "/readyz").is_ok_and(|answer| answer.status == 200)
     }
 
+    /// Whether it watches the store, rather than following another host.
+    pub fn is_watcher(&self) -> bool {
+        let lines = self.process.lines();
+        let mut roles = lines.iter().rev().filter_map(|line| line["event"].as_str());
+        roles.find(|event| ["following", "watching_store"].contains(event))
+            == Some("watching_store")
+    }
+
     /// The hosts that the directory names, none when it can't say.
     pub fn resolve(&self) -> Vec<SocketAddr> {
         let Ok(answer) = get(self.directory, "/resolve?Name=shop.example&Region=r&Zone=a") else {
