Add a randomized soak of real hosts, with faults that come in series

Callers keep their connections until these end.

The code that starts gateways moves out of the tests, so that both use one copy.

--- a/crates/basilhaven-bench/src/lib.rs
+++ b/crates/basilhaven-bench/src/lib.rs
@@ -7,7 +7,9 @@
 pub mod cluster;
 pub mod demo;
 pub mod experiment;
+pub mod gateway;
 pub mod process;
 pub mod report;
 pub mod scenario;
+pub mod soak;
 pub mod standin;
--- a/crates/basilhaven-bench/src/main.rs
+++ b/crates/basilhaven-bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use basilhaven_bench::standin::{block_on, caller, platform, relay, steerer, upstream};
-use basilhaven_bench::{demo, experiment};
+use basilhaven_bench::{demo, experiment, soak};
 use bpaf::Bpaf;
 
 /// What to run.
@@ -35,6 +35,9 @@
     /// Stand-in: callers
     #[bpaf(command)]
     Caller(#[bpaf(external(caller::options))] caller::Options),
+    /// Faults in series against real hosts, and what did not hold
+    #[bpaf(command)]
+    Soak(#[bpaf(external(soak::options))] soak::Options),
     Run {
         /// Seed of the experiment
         #[bpaf(long, argument("N"), fallback(1))]
@@ -74,6 +77,11 @@
             caller::run(options);
             true
         }
+        Order::Soak(options) => {
+            let outcome = block_on(soak::run(options));
+            println!("{}", serde_json::to_string(&outcome).expect("plain data"));
+            outcome.findings.is_empty()
+        }
         Order::Run { seed, experiment } => {
             let report = block_on(experiment.run(seed));
             println!("{}", serde_json::to_string(&report).expect("plain data"));
--- /dev/null
+++ b/crates/basilhaven-bench/src/soak/check.rs
@@ -0,0 +1,247 @@
+//! What must hold, judged by what callers got and what upstreams ran.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+
+use super::caller::{End, Record};
+use super::world::{Backing, History, Run, Span};
+
+/// The route's time limit and attempts, as the configuration says.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(2);
+const MAX_ATTEMPTS: usize = 2;
+
+/// How much later than its time limit a call may be answered (`CONFIG` of the users' rules).
+const LIMIT_SLACK: Duration = Duration::from_millis(500);
+
+/// Late calls from which on their share is judged, from the same rule.
+const LATE_CALLS: usize = 8;
+
+/// How long an order may take to be in force, with the stretch for a disturbed store: the users' bounds
+/// `EvacuateS` or `ConfigApplyS`, whichever is more, and `MaxStretchS`.
+const IN_FORCE: Duration = Duration::from_secs(10);
+
+/// How long a host counts as disturbed after it (`ContactS` of the users' bounds).
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// A call that a stopping host got later than this may be cut at the end of the grace of 4 s: it may be
+/// at work still in the last sixth of it.
+const CUT_AFTER_STOP: Duration = Duration::from_millis(1_300);
+
+/// How long a host may take to end after SIGTERM: the grace.
+const GRACE: Duration = Duration::from_secs(4);
+
+/// Something that did not hold.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
+pub struct Finding {
+    /// Which promise.
+    pub promise: &'static str,
+    /// What was seen.
+    pub seen: String,
+}
+
+/// A call as upstreams saw it.
+struct Ran<'a> {
+    upstream: &'a Backing,
+    number: usize,
+    method: String,
+    path: String,
+    deadline_ms: Option<u64>,
+    at: Instant,
+}
+
+/// Judges everything that happened.
+pub fn judge(records: &[Record], upstreams: &[Backing], history: &History) -> Vec<Finding> {
+    let runs = runs(upstreams);
+    let mut findings = Vec::new();
+    let mut find = |promise, seen| findings.push(Finding { promise, seen });
+    let by_id: IndexMap<&str, &Record> = records.iter().map(|r| (&*r.id, r)).collect();
+    for record in records {
+        let ran = runs.get(&*record.id).map_or(&[][..], |ran| &ran[..]);
+        check_call(record, ran, history, &mut find);
+    }
+    for (id, ran) in &runs {
+        match by_id.get(&**id) {
+            Some(record) => check_runs(record, ran, history, &mut find),
+            None => find("no call that nobody sent", format!("{id} ran")),
+        }
+    }
+    check_limits(records, history, &mut find);
+    history.runs.iter().for_each(|run| check_process(run, history, &mut find));
+    findings
+}
+
+fn runs(upstreams: &[Backing]) -> IndexMap<String, Vec<Ran<'_>>> {
+    let mut runs: IndexMap<String, Vec<Ran<'_>>> = IndexMap::new();
+    for (number, upstream) in upstreams.iter().enumerate() {
+        for (id, request, at) in upstream.upstream.runs() {
+            let deadline_ms = request.header("x-basilhaven-deadline-ms");
+            let deadline_ms = deadline_ms.and_then(|value| value.parse().ok());
+            let path = request.path().to_owned();
+            let method = request.method.clone();
+            runs.entry(id).or_default().push(Ran {
+                upstream,
+                number,
+                method,
+                path,
+                deadline_ms,
+                at,
+            });
+        }
+    }
+    runs
+}
+
+/// Checks what a caller got against what ran.
+fn check_call<F>(record: &Record, ran: &[Ran<'_>], history: &History, find: &mut F)
+where
+    F: FnMut(&'static str, String),
+{
+    let say = |what: &str| format!("{} on host {}: {what}, {record:?}", record.id, record.host);
+    if !record.is_safe() && ran.len() > 1 {
+        find("no call that may not be repeated runs twice", say(&format!("ran {}", ran.len())));
+    }
+    if ran.len() > MAX_ATTEMPTS {
+        find("no more attempts than the route allows", say(&format!("ran {}", ran.len())));
+    }
+    if !record.is_safe() && matches!(record.status(), 408 | 421 | 429 | 503) && !ran.is_empty() {
+        find("a refusal is true", say("refused, and has run"));
+    }
+    match &record.end {
+        End::Answered(answer) if (200..300).contains(&answer.status) => {
+            let is_own = |ran: &Ran<'_>| {
+                answer.body == format!("{} by {}", record.id, ran.upstream.upstream.id)
+            };
+            let is_signed = answer.head.contains("x-basilhaven-server-signature");
+            if !answer.whole || !is_signed || !ran.iter().any(is_own) {
+                find("a success is the upstream's own whole answer", say("answered"));
+            }
+        }
+        End::Answered(answer) if [400, 401, 403, 404].contains(&answer.status) => {
+            find("no proper call is denied", say("denied"));
+        }
+        End::Cut if !ran.is_empty() && !may_cut(record, history) => {
+            find("no call is cut by a host that lives", say("cut"));
+        }
+        End::Answered(_) | End::Cut | End::TimedOut => {}
+    }
+}
+
+/// Checks what ran against what the caller sent and operators ordered.
+fn check_runs<F>(record: &Record, runs: &[Ran<'_>], history: &History, find: &mut F)
+where
+    F: FnMut(&'static str, String),
+{
+    let is_calm = is_calm(record, history);
+    for ran in runs {
+        let say =
+            |what: &str| format!("{}: {what}, upstream {}, {record:?}", record.id, ran.number);
+        if ran.method != record.method || ran.path != record.path {
+            find("no call is changed", say(&format!("{} {}", ran.method, ran.path)));
+        }
+        let allowed_ms = record.deadline.as_millis() as u64;
+        if ran.deadline_ms.is_none_or(|handed| handed > allowed_ms) {
+            find("no more time is handed on than is left", say(&format!("{:?}", ran.deadline_ms)));
+        }
+        if !is_calm {
+            continue;
+        }
+        let sent = record.sent;
+        let service = ran.upstream.service;
+        if !services(history, sent, ran.at).any(|allowed| allowed == service) {
+            find("a configuration is in force in time", say(service));
+        }
+        let has_left =
+            |span: &Span| span.from + IN_FORCE < sent && span.to.is_none_or(|end| end > ran.at);
+        if history.leaving.iter().any(|(own, span)| *own == ran.number && has_left(span)) {
+            find("an upstream that leaves gets nothing more", say("left"));
+        }
+        let is_evacuated = ran.upstream.data_centre == super::world::EVACUATED;
+        if is_evacuated && history.evacuated.iter().any(has_left) {
+            find("a data centre that is out gets nothing more", say("evacuated"));
+        }
+    }
+}
+
+/// The services to which a call may go: of the configurations that may be in force.
+fn services(
+    history: &History,
+    sent: Instant,
+    ran: Instant,
+) -> impl Iterator<Item = &'static str> + '_ {
+    let settled = sent.checked_sub(IN_FORCE);
+    let oldest = settled.map_or(0, |settled| {
+        history.services.iter().rposition(|(at, _)| *at <= settled).unwrap_or(0)
+    });
+    history.services[oldest..].iter().filter(move |(at, _)| *at <= ran).map(|(_, service)| *service)
+}
+
+/// Whether nothing was wrong with a call's host and its way to the store for so long that orders must
+/// have been in force on it.
+fn is_calm(record: &Record, history: &History) -> bool {
+    let from = record.sent.checked_sub(IN_FORCE + CONTACT).unwrap_or(record.sent);
+    let is_wrong = |span: &Span| span.overlaps(from, record.ended);
+    !history.store.iter().any(is_wrong)
+        && !history.pauses.iter().any(|(host, span)| *host == record.host && is_wrong(span))
+}
+
+/// Whether a call's connection may have ended through what was done to its host.
+fn may_cut(record: &Record, history: &History) -> bool {
+    history.runs.iter().filter(|run| run.host == record.host).any(|run| {
+        // A process lives on for some milliseconds after the order to kill it.
+        let was_killed = run.killed.is_some_and(|at| at <= record.ended);
+        let may_end = run.terminated.is_some_and(|at| record.sent >= at + CUT_AFTER_STOP);
+        let lived = run.started <= record.sent && run.ended.is_none_or(|(at, _)| at >= record.sent);
+        lived && (was_killed || may_end)
+    }) || is_paused(record, history)
+}
+
+fn is_paused(record: &Record, history: &History) -> bool {
+    let is_over = |span: &Span| span.overlaps(record.sent, record.ended);
+    history.pauses.iter().any(|(host, span)| *host == record.host && is_over(span))
+}
+
+/// Checks that calls end at their time limits.
+fn check_limits<F>(records: &[Record], history: &History, find: &mut F)
+where
+    F: FnMut(&'static str, String),
+{
+    let limit = |record: &Record| record.deadline.min(ROUTE_TIMEOUT);
+    let reached: Vec<&Record> =
+        records.iter().filter(|r| !is_paused(r, history) && r.ended - r.sent >= limit(r)).collect();
+    let is_late = |r: &&&Record| r.ended - r.sent > limit(r) + LIMIT_SLACK;
+    let late = reached.iter().filter(is_late).count();
+    if late >= LATE_CALLS && late * 2 > reached.len() {
+        let seen = format!("{late} of {} calls that reached their limit", reached.len());
+        find("a call ends at its time limit", seen);
+    }
+}
+
+/// Checks one process of a host.
+fn check_process<F>(run: &Run, history: &History, find: &mut F)
+where
+    F: FnMut(&'static str, String),
+{
+    let versions = run.lines.iter().filter(|line| line["event"] == "config_applied");
+    let versions: Vec<u64> = versions.filter_map(|line| line["version"].as_u64()).collect();
+    if versions.windows(2).any(|pair| pair[0] >= pair[1]) {
+        find("a configuration never goes back", format!("host {}: {versions:?}", run.host));
+    }
+    let Some((ended, success)) = run.ended else { return };
+    if run.killed.is_some() {
+        return;
+    }
+    let Some(terminated) = run.terminated else {
+        find("no process ends by itself", format!("host {}", run.host));
+        return;
+    };
+    let was_paused = history
+        .pauses
+        .iter()
+        .any(|(host, span)| *host == run.host && span.overlaps(terminated, ended));
+    let took = ended - terminated;
+    if !success || took > GRACE && !was_paused {
+        let seen = format!("host {}: success {success}, after {took:?}", run.host);
+        find("a process that is told to stop ends well within the grace", seen);
+    }
+}
--- a/crates/basilhaven-bench/src/standin/users/upstream.rs
+++ b/crates/basilhaven-bench/src/standin/users/upstream.rs
@@ -3,7 +3,7 @@
 use std::io::{self, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::{read_request, write_response, Request};
 
@@ -38,7 +38,7 @@
     behaviour: Behaviour,
     healthy: bool,
     load: String,
-    ran: Vec<(String, Request)>,
+    ran: Vec<(String, Request, Instant)>,
     cancelled: usize,
 }
 
@@ -88,8 +88,20 @@
 
     /// What it writes of itself in the store, for a service, version and state.
     pub fn entry(&self, service: &str, version: &str, state: &str) -> String {
+        self.entry_at(self.address, "a", service, version, state)
+    }
+
+    /// The same, for an upstream that stands in a data centre and is reached at an address.
+    pub fn entry_at(
+        &self,
+        address: SocketAddr,
+        data_centre: &str,
+        service: &str,
+        version: &str,
+        state: &str,
+    ) -> String {
         let entry = serde_json::json!({
-            "Service": service, "Address": self.address, "Zone": "a", "Version": version,
+            "Service": service, "Address": address, "Zone": data_centre, "Version": version,
             "Slots": 4, "State": state, "ColdRemainingS": 0, "Seq": 1, "born": 1,
         });
         entry.to_string()
@@ -112,12 +124,22 @@
 
     /// The calls that it has run, by the ids of the callers' attempts.
     pub fn ran(&self) -> Vec<String> {
-        self.lock().ran.iter().map(|(id, _)| id.clone()).collect()
+        self.lock().ran.iter().map(|(id, ..)| id.clone()).collect()
     }
 
     /// The requests that it has run.
     pub fn requests(&self) -> Vec<Request> {
-        self.lock().ran.iter().map(|(_, request)| request.clone()).collect()
+        self.lock().ran.iter().map(|(_, request, _)| request.clone()).collect()
+    }
+
+    /// The calls that it has run: id, request, and when it began.
+    pub fn runs(&self) -> Vec<(String, Request, Instant)> {
+        self.lock().ran.clone()
+    }
+
+    /// Where it takes calls.
+    pub fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Calls whose connections were closed while it worked on them.
@@ -159,7 +181,7 @@
                 write_response(stream, 421, &[(REQUEST_ID, &*id)], b"")?;
                 return Ok(true);
             }
-            _ => self.lock().ran.push((id.clone(), request)),
+            _ => self.lock().ran.push((id.clone(), request, Instant::now())),
         }
         let signed = [(REQUEST_ID, &*id), ("x-basilhaven-server-signature", "s.1")];
         let body = format!("{id} by {}", self.id).into_bytes();
--- a/crates/basilhaven-bench/tests/gateway/hosts.rs
+++ b/crates/basilhaven-bench/tests/gateway/hosts.rs
@@ -127,7 +127,7 @@
         let first = [("BASILHAVEN_FIRST_START", "true")];
         let mut hosts = Vec::new();
         for ip in &ips {
-            hosts.push(Host::start_with(&store, *ip, port, &seeds, &first).await);
+            hosts.push(Host::start_with(store.address(), *ip, port, &seeds, &first).await);
         }
         wait_until("all are ready", || hosts.iter().all(Host::is_ready)).await;
         let reads = store.whole_reads();
