Judge the soak's orders by the users' bounds, and only on hosts that nothing was wrong with

Cause: two of four deliberate breaks went unseen: orders were judged 10 s after they came, and ended before. Now a configuration and an upstream's leaving count after 2 s and an evacuation after 5 s, on hosts whose process, way to the store and the store itself were well for 3 s more. Orders last 3 to 9 s.

--- a/crates/basilhaven-bench/src/soak/check.rs
+++ b/crates/basilhaven-bench/src/soak/check.rs
@@ -17,9 +17,11 @@
 /// Late calls from which on their share is judged, from the same rule.
 const LATE_CALLS: usize = 8;
 
-/// How long an order may take to be in force, with the stretch for a disturbed store: the users' bounds
-/// `EvacuateS` or `ConfigApplyS`, whichever is more, and `MaxStretchS`.
-const IN_FORCE: Duration = Duration::from_secs(10);
+/// How long a configuration, an upstream's leaving and an evacuation may take to be in force on a calm host:
+/// the users' bounds `ConfigApplyS`, `DrainS` and `EvacuateS`.
+const CONFIG_TIME: Duration = Duration::from_secs(2);
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+const EVACUATION_TIME: Duration = Duration::from_secs(5);
 
 /// How long a host counts as disturbed after it (`ContactS` of the users' bounds).
 const CONTACT: Duration = Duration::from_secs(3);
@@ -132,7 +134,6 @@
 where
     F: FnMut(&'static str, String),
 {
-    let is_calm = is_calm(record, history);
     for ran in runs {
         let say =
             |what: &str| format!("{}: {what}, upstream {}, {record:?}", record.id, ran.number);
@@ -143,21 +144,22 @@
         if ran.deadline_ms.is_none_or(|handed| handed > allowed_ms) {
             find("no more time is handed on than is left", say(&format!("{:?}", ran.deadline_ms)));
         }
-        if !is_calm {
-            continue;
-        }
-        let sent = record.sent;
         let service = ran.upstream.service;
-        if !services(history, sent, ran.at).any(|allowed| allowed == service) {
+        let is_allowed = services(history, record.sent, ran.at).any(|allowed| allowed == service);
+        if !is_allowed && is_calm(record, CONFIG_TIME, history) {
             find("a configuration is in force in time", say(service));
         }
-        let has_left =
-            |span: &Span| span.from + IN_FORCE < sent && span.to.is_none_or(|end| end > ran.at);
-        if history.leaving.iter().any(|(own, span)| *own == ran.number && has_left(span)) {
+        let is_past = |span: &Span, bound: Duration| {
+            span.from + bound < record.sent && span.to.is_none_or(|end| end > ran.at)
+        };
+        let mut leaving = history.leaving.iter().filter(|(own, _)| *own == ran.number);
+        let has_left = leaving.any(|(_, span)| is_past(span, DRAIN_TIME));
+        if has_left && is_calm(record, DRAIN_TIME, history) {
             find("an upstream that leaves gets nothing more", say("left"));
         }
-        let is_evacuated = ran.upstream.data_centre == super::world::EVACUATED;
-        if is_evacuated && history.evacuated.iter().any(has_left) {
+        let is_out = ran.upstream.data_centre == super::world::EVACUATED
+            && history.evacuated.iter().any(|span| is_past(span, EVACUATION_TIME));
+        if is_out && is_calm(record, EVACUATION_TIME, history) {
             find("a data centre that is out gets nothing more", say("evacuated"));
         }
     }
@@ -169,20 +171,28 @@
     sent: Instant,
     ran: Instant,
 ) -> impl Iterator<Item = &'static str> + '_ {
-    let settled = sent.checked_sub(IN_FORCE);
+    let settled = sent.checked_sub(CONFIG_TIME);
     let oldest = settled.map_or(0, |settled| {
         history.services.iter().rposition(|(at, _)| *at <= settled).unwrap_or(0)
     });
     history.services[oldest..].iter().filter(move |(at, _)| *at <= ran).map(|(_, service)| *service)
 }
 
-/// Whether nothing was wrong with a call's host and its way to the store for so long that orders must
-/// have been in force on it.
-fn is_calm(record: &Record, history: &History) -> bool {
-    let from = record.sent.checked_sub(IN_FORCE + CONTACT).unwrap_or(record.sent);
+/// Whether nothing was wrong with the store, a call's host and its way to the store for so long that
+/// orders must have been in force on it.
+fn is_calm(record: &Record, bound: Duration, history: &History) -> bool {
+    let Some(from) = record.sent.checked_sub(bound + CONTACT) else { return false };
     let is_wrong = |span: &Span| span.overlaps(from, record.ended);
+    let is_of_host = |(host, span): &(usize, Span)| *host == record.host && is_wrong(span);
+    let was_up = |run: &Run| {
+        run.host == record.host
+            && run.started <= from
+            && run.ended.is_none_or(|(at, _)| at >= record.ended)
+    };
     !history.store.iter().any(is_wrong)
-        && !history.pauses.iter().any(|(host, span)| *host == record.host && is_wrong(span))
+        && !history.links.iter().any(is_of_host)
+        && !history.pauses.iter().any(is_of_host)
+        && history.runs.iter().any(was_up)
 }
 
 /// Whether a call's connection may have ended through what was done to its host.
--- a/crates/basilhaven-bench/src/soak/plan.rs
+++ b/crates/basilhaven-bench/src/soak/plan.rs
@@ -9,6 +9,9 @@
 /// The shortest and the longest time that a fault lasts, in milliseconds.
 const FAULT_MS: std::ops::Range<u64> = 200..3_500;
 
+/// The same of what operators and upstreams order: the longest bound on it is 5 s.
+const ORDER_MS: std::ops::Range<u64> = 3_000..9_000;
+
 /// The mean time between the starts of two faults, in milliseconds; they overlap.
 const GAP_MS: u64 = 450;
 
@@ -86,8 +89,13 @@
     let mut steps = Vec::new();
     let mut at = random.u64(0..GAP_MS);
     while at < end {
-        let until = (at + random.u64(FAULT_MS)).min(end);
+        let fault_end = (at + random.u64(FAULT_MS)).min(end);
+        let order_end = (at + random.u64(ORDER_MS)).min(end);
         fault(&mut random, size, |is_end, step| {
+            let until = match step {
+                Step::Listed(..) | Step::Evacuate(_) => order_end,
+                _ => fault_end,
+            };
             let at = Duration::from_millis(if is_end { until } else { at });
             steps.push(Planned { at, step });
         });
--- a/crates/basilhaven-bench/src/soak/world.rs
+++ b/crates/basilhaven-bench/src/soak/world.rs
@@ -75,8 +75,10 @@
     pub runs: Vec<Run>,
     /// When hosts were paused, by number.
     pub pauses: Vec<(usize, Span)>,
-    /// When the store, or a host's way to it, was disturbed.
+    /// When the store was disturbed.
     pub store: Vec<Span>,
+    /// When a host's way to the store was, by number.
+    pub links: Vec<(usize, Span)>,
     /// Which service the routes went to, from when it was acknowledged.
     pub services: Vec<(Instant, &'static str)>,
     /// When an upstream had said that it leaves, by number.
@@ -217,7 +219,10 @@
             }
             Step::StoreLink(host, link) => {
                 self.store_links[host].set(link);
-                self.note_store(link == Link::Open, now);
+                end_of(&mut self.history.links, host, now);
+                if link != Link::Open {
+                    self.history.links.push((host, Span { from: now, to: None }));
+                }
             }
             Step::UpstreamLink(upstream, link) => self.upstreams[upstream].proxy.set(link),
             Step::Upstream(upstream, behaviour) => self.upstreams[upstream].upstream.set(behaviour),
@@ -293,10 +298,10 @@
     pub fn heal(&mut self) {
         let now = Instant::now();
         self.store.set_mode(Mode::Up);
-        self.store_links.iter().for_each(|link| link.set(Link::Open));
         self.history.store.iter_mut().for_each(|span| span.to = span.to.or(Some(now)));
         for number in 0..self.slots.len() {
             self.take(Step::Resume(number));
+            self.take(Step::StoreLink(number, Link::Open));
         }
         for number in 0..self.upstreams.len() {
             self.take(Step::UpstreamLink(number, Link::Open));
