--- a/crates/basilhaven-bench/tests/gateway/hosts.rs
+++ b/crates/basilhaven-bench/tests/gateway/hosts.rs
@@ -13,13 +13,31 @@
     config, free_peer_port, receive, send, wait_until, Host, World, PROMPT, SERVICE,
 };
 
-async fn start_three(store: &Store, last: u8) -> Vec<Host> {
-    let ips: Vec<Ipv4Addr> = (1..=3).map(|n| Ipv4Addr::new(127, 0, last, n)).collect();
-    let port = free_peer_port(&ips);
-    let seeds = format!("{}:1,{}:1", ips[0], ips[1]);
+/// Where the hosts of a test are: addresses of a loopback network of its own, and one port for peers.
+struct Net {
+    ips: Vec<Ipv4Addr>,
+    port: u16,
+    /// The first hosts, at a port that is not used.
+    seeds: String,
+}
+
+impl Net {
+    fn new(network: u8, hosts: u8) -> Net {
+        let ips: Vec<Ipv4Addr> = (1..=hosts).map(|n| Ipv4Addr::new(127, 0, network, n)).collect();
+        let seeds: Vec<String> = ips.iter().take(2).map(|ip| format!("{ip}:1")).collect();
+        Net { port: free_peer_port(&ips), seeds: seeds.join(","), ips }
+    }
+
+    async fn start(&self, store: &Store, host: usize) -> Host {
+        Host::start(store, self.ips[host], self.port, &self.seeds).await
+    }
+}
+
+async fn start_three(store: &Store, network: u8) -> Vec<Host> {
+    let net = Net::new(network, 3);
     let mut hosts = Vec::new();
-    for ip in ips {
-        hosts.push(Host::start(store, ip, port, &seeds).await);
+    for host in 0..3 {
+        hosts.push(net.start(store, host).await);
     }
     for host in &hosts {
         wait_until("the host is ready", || host.is_ready()).await;
@@ -98,19 +116,17 @@
     block_on(async {
         let store = Store::start();
         store.put("op", "config", &config(1, SERVICE));
-        let ips: Vec<Ipv4Addr> = (1..=4).map(|n| Ipv4Addr::new(127, 0, 14, n)).collect();
-        let port = free_peer_port(&ips);
-        let seeds = format!("{}:1,{}:1", ips[0], ips[1]);
+        let net = Net::new(14, 4);
         let mut hosts = Vec::new();
-        for ip in &ips[..3] {
-            let host = Host::start(&store, *ip, port, &seeds).await;
+        for number in 0..3 {
+            let host = net.start(&store, number).await;
             wait_until("the host is ready", || host.is_ready()).await;
             hosts.push(host);
         }
         let knows_all = || hosts.iter().all(|host| host.resolve().len() == 3);
         wait_until("all know each other", knows_all).await;
         let before = store.whole_reads();
-        let last = Host::start(&store, ips[3], port, &seeds).await;
+        let last = net.start(&store, 3).await;
         wait_until("the last host is ready", || last.is_ready()).await;
         assert_eq!(store.whole_reads(), before);
     });
@@ -121,13 +137,12 @@
     block_on(async {
         let store = Store::start();
         store.put("op", "config", &config(1, SERVICE));
-        let ips: Vec<Ipv4Addr> = (1..=8).map(|n| Ipv4Addr::new(127, 0, 15, n)).collect();
-        let port = free_peer_port(&ips);
-        let seeds = format!("{}:1,{}:1,{}:1", ips[0], ips[3], ips[6]);
+        let net = Net::new(15, 8);
         let first = [("BASILHAVEN_FIRST_START", "true")];
         let mut hosts = Vec::new();
-        for ip in &ips {
-            hosts.push(Host::start_with(store.address(), *ip, port, &seeds, &first).await);
+        for ip in &net.ips {
+            let host = Host::start_with(store.address(), *ip, net.port, &net.seeds, &first);
+            hosts.push(host.await);
         }
         wait_until("all are ready", || hosts.iter().all(Host::is_ready)).await;
         let reads = store.whole_reads();
@@ -159,14 +174,11 @@
     block_on(async {
         let store = Store::start();
         store.put("op", "config", &config(1, SERVICE));
-        let ips = [Ipv4Addr::new(127, 0, 16, 1), Ipv4Addr::new(127, 0, 16, 2)];
-        let port = free_peer_port(&ips);
-        let seeds = format!("{}:1,{}:1,127.0.16.3:1", ips[0], ips[1]);
+        let net = Net::new(16, 2);
+        // One of the seeds is down.
+        let net = Net { seeds: format!("{},127.0.16.3:1", net.seeds), ..net };
         let started = Instant::now();
-        let mut hosts = Vec::new();
-        for ip in ips {
-            hosts.push(Host::start(&store, ip, port, &seeds).await);
-        }
+        let hosts = [net.start(&store, 0).await, net.start(&store, 1).await];
         wait_until("both are ready", || hosts.iter().all(Host::is_ready)).await;
         let took = started.elapsed();
         assert!(took < Duration::from_secs(2), "{took:?} until both were ready");
