Refuse a call that a stopping host has no time left for, instead of cutting it at the end

A host that got SIGTERM at 23.359 s took a call on a new connection at 28.612 s, since its directory answer was old, sent it to an upstream, and ended at 28.76 s, nine tenths of the grace, while the upstream was at work on it. Only calls that were taken within 3 s of SIGTERM may still run then.

Closing the listener: callers with old answers would be reset.

Now a call whose time limit is after the end is refused as not run, with Retry-After and connection: close. The new test failed before: the connection ended without an answer (UnexpectedEof).

--- a/crates/basilhaven-bench/tests/gateway/hosts.rs
+++ b/crates/basilhaven-bench/tests/gateway/hosts.rs
@@ -206,6 +206,28 @@
     });
 }
 
+#[test]
+fn a_call_that_a_stopping_host_has_no_time_for_is_refused_and_not_cut() {
+    block_on(async {
+        let mut world = World::start(&[Behaviour::Serves(Duration::from_millis(900))]).await;
+        world.host.process.signal(Signal::Terminate);
+        // The grace is 4 s, of which a tenth is left for the end.
+        monoio::time::sleep(Duration::from_millis(2_600)).await;
+        let mut short = world.host.open().unwrap();
+        send(&mut short, "POST", "/unsafe/1", "id-short", 800).unwrap();
+        monoio::time::sleep(Duration::from_millis(500)).await;
+        let late = world.host.call("POST", "/unsafe/1", "id-late").expect("an answer");
+        assert_eq!(late.status, 503);
+        assert!(late.head.contains("connection: close"), "{}", late.head);
+        assert!(late.head.contains("retry-after"), "{}", late.head);
+        // It had until its deadline, and is told that it may have run.
+        let short = receive(&mut short).expect("an answer").status;
+        assert!([502, 504].contains(&short), "{short}");
+        assert_eq!(world.host.process.wait(Duration::from_secs(2)).await, Some(true));
+        assert_eq!(world.runs_of("id-late"), 0);
+    });
+}
+
 #[test]
 fn a_reload_cuts_nothing() {
     block_on(async {
--- a/crates/basilhaven/src/gateway/front.rs
+++ b/crates/basilhaven/src/gateway/front.rs
@@ -41,6 +41,9 @@
 const FAILURE_WEIGHT: f64 = 1.0;
 const SHED_WEIGHT: f64 = 0.5;
 
+/// What a stopping host leaves a call for its answer: some round trips to a caller.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
+
 /// What the tasks of callers' connections share.
 #[derive(Debug)]
 pub struct Front {
@@ -60,6 +63,8 @@
     pub busy: Cell<usize>,
     /// Notified when idle connections are to be closed.
     pub closing: signal::Signal,
+    /// When the process ends, once it has been told to stop.
+    pub ends_at: Cell<Option<Instant>>,
 }
 
 impl Front {
@@ -215,6 +220,10 @@
             .await;
     };
     let call = call(front, request, body, &route, started);
+    if front.ends_at.get().is_some_and(|end| call.until + ANSWER_TIME > end) {
+        tracing::info!(event = "stopping_too_soon", id = id_text(&call), route = &*route.name);
+        return not_run(conn, RETRY_AFTER, Next::Close).await;
+    }
     let left = Cell::new(false);
     let reply = {
         let run = std::pin::pin!(run(front, &table, &route, &call, &left));
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -175,6 +175,7 @@
         open: Cell::default(),
         busy: Cell::default(),
         closing: super::signal::Signal::default(),
+        ends_at: Cell::default(),
     })
 }
 
@@ -307,12 +308,13 @@
     // An error has the same meaning: there is no more waiting for the signal.
     let _ = stop.read(vec![0; 1]).await;
     let told = Instant::now();
+    let end = told + settings.grace.mul_f64(END_SHARE);
+    front.ends_at.set(Some(end));
     front.members.set_state(cluster::State::Leaving);
     tracing::info!(event = "leaving", host = &*settings.name, connections = front.open.get());
     cluster::send_to_all(desk, peer).await;
     monoio::time::sleep(settings.grace.mul_f64(SERVE_SHARE)).await;
     front.closing.notify();
-    let end = told + settings.grace.mul_f64(END_SHARE);
     while (front.busy.get() > 0 || front.open.get() > 0) && Instant::now() < end {
         monoio::time::sleep(DRAIN_STEP).await;
     }
