--- a/crates/basilhaven-bench/src/soak/check.rs
+++ b/crates/basilhaven-bench/src/soak/check.rs
@@ -26,10 +26,6 @@
 /// How long a host counts as disturbed after it (`ContactS` of the users' bounds).
 const CONTACT: Duration = Duration::from_secs(3);
 
-/// A call that a stopping host got later than this may be cut at the end of the grace of 4 s: it may be
-/// at work still in the last sixth of it.
-const CUT_AFTER_STOP: Duration = Duration::from_millis(1_300);
-
 /// How long a host may take to end after SIGTERM: the grace.
 const GRACE: Duration = Duration::from_secs(4);
 
@@ -200,9 +196,8 @@
     history.runs.iter().filter(|run| run.host == record.host).any(|run| {
         // A process lives on for some milliseconds after the order to kill it.
         let was_killed = run.killed.is_some_and(|at| at <= record.ended);
-        let may_end = run.terminated.is_some_and(|at| record.sent >= at + CUT_AFTER_STOP);
         let lived = run.started <= record.sent && run.ended.is_none_or(|(at, _)| at >= record.sent);
-        lived && (was_killed || may_end)
+        lived && was_killed
     }) || is_paused(record, history)
 }
 
