Order what upstreams say of themselves by start and beat; let health refusals hold

A row's revision orders rows, not what they say: an entry that the store performs late has the newest revision and brings back an upstream that left. A refused health check counted from 0.1 to 1.0 s after the first refusal, and never again while the check kept failing: such an upstream got calls at once and after a second. It now gets none until its entry would have lapsed (three heartbeats and two reads) while another one can take the call; an entry that is still there by then was written after the refusal.

Ruled out: hosts passing rows on out of order (revisions order these).

--- a/crates/basilhaven-bench/tests/gateway/orders.rs
+++ b/crates/basilhaven-bench/tests/gateway/orders.rs
@@ -161,3 +161,56 @@
         assert_eq!(new.ran().len(), before);
     });
 }
+
+#[test]
+fn an_upstream_that_is_first_listed_after_it_left_gets_nothing() {
+    block_on(async {
+        let world = World::start(&[PROMPT]).await;
+        let late = Upstream::start("i-late", PROMPT);
+        late.set_healthy(false);
+        // Its leaving was written before this entry, which the store performed late.
+        world.store.put("servers", "i-late", &late.entry(SERVICE, "v1", "ready"));
+        wait_until("the entry is read", || world.host.process.lines_with("upstream_listed") > 1)
+            .await;
+        let listed = Instant::now();
+        let mut number = 0;
+        while listed.elapsed() < Duration::from_millis(4000) {
+            assert!(is_served(&world, &format!("id-{number}")));
+            assert_eq!(late.ran(), [""; 0], "after {:?}", listed.elapsed());
+            number += 1;
+        }
+    });
+}
+
+#[test]
+fn entries_that_come_out_of_order_bring_back_no_upstream_that_leaves() {
+    block_on(async {
+        let world = World::start(&[PROMPT, PROMPT]).await;
+        let leaving = &world.upstreams[0];
+        let written = [
+            leaving.entry(SERVICE, "v1", "ready"),
+            leaving.entry(SERVICE, "v1", "draining"),
+            leaving.entry(SERVICE, "v1", "ready").replace("\"born\":1", "\"born\":0"),
+        ];
+        let row = |number: usize| world.store.put("servers", &leaving.id, &written[number]);
+        row(1);
+        wait_until("its leaving is known", || {
+            let before = leaving.ran().len();
+            (0..20).all(|n| is_served(&world, &format!("l-{n}"))) && leaving.ran().len() == before
+        })
+        .await;
+        let before = leaving.ran().len();
+        // Late, twice, of an earlier start, and after its removal: reads are 0.6 s apart.
+        for step in [Some(0), Some(0), Some(2), None, Some(0), Some(1), Some(2)] {
+            match step {
+                Some(number) => row(number),
+                None => world.store.remove("servers", &leaving.id),
+            }
+            let until = Instant::now() + Duration::from_millis(1300);
+            while Instant::now() < until {
+                is_served(&world, "meanwhile");
+                assert_eq!(leaving.ran().len(), before, "after {step:?}");
+            }
+        }
+    });
+}
--- a/crates/basilhaven/src/gateway/news.rs
+++ b/crates/basilhaven/src/gateway/news.rs
@@ -189,8 +189,13 @@
                 journal.restart(revision);
             }
             false => {
-                let items: Vec<store::Change> =
-                    items.into_iter().filter(|item| self.is_news(item, now)).collect();
+                let (items, renewals): (Vec<store::Change>, Vec<store::Change>) =
+                    items.into_iter().partition(|item| self.is_news(item, now));
+                for renewal in renewals {
+                    if let store::Change::Upstream { id, entry: Some(entry) } = renewal {
+                        self.registry.renew(&id, &entry, now);
+                    }
+                }
                 self.apply(items.clone(), now);
                 journal.add(revision, items);
             }
--- a/crates/basilhaven/src/gateway/place.rs
+++ b/crates/basilhaven/src/gateway/place.rs
@@ -271,6 +271,7 @@
         let hosts = self.members.expected(now);
         open.iter().for_each(|u| u.warmup.set_share(service.cold_rate, hosts));
         let open = self.moves.choose_version(need.service, open, now);
+        let open = self.registry.undoubted(open, now);
         if open.is_empty() {
             return Err(Refusal::NoUpstream);
         }
@@ -286,6 +287,7 @@
             .into_iter()
             .filter(|u| u.warmup.admits(now) && self.registry.is_open(u, now))
             .collect();
+        let able = self.registry.undoubted(able, now);
         let candidates = able.len();
         let (chosen, cost) = choice::pick(&able, &self.data_centre, now).ok_or(Refusal::NoRoom)?;
         if !need.accepts(cost, now) {
--- a/crates/basilhaven/src/gateway/probe.rs
+++ b/crates/basilhaven/src/gateway/probe.rs
@@ -130,9 +130,7 @@
         if healthy != upstream.refused_health().is_none() {
             tracing::info!(event = "health_changed", upstream = &*upstream.id, healthy);
         }
-        if healthy || upstream.refused_health().is_none() {
-            upstream.note_health(now, healthy);
-        }
+        upstream.note_health(now, healthy);
         let cold = headers.get(&fields.cold_ms).and_then(number);
         upstream.warmup.note(now, Duration::from_millis(cold.unwrap_or(0)));
         if let Some(load) = (self.protocol.read_load)(headers) {
--- a/crates/basilhaven/src/gateway/registry.rs
+++ b/crates/basilhaven/src/gateway/registry.rs
@@ -16,14 +16,17 @@
 /// every heartbeat, and lapse after three.
 const LAPSE_TIME: Duration = Duration::from_secs(1);
 
-/// How long the health check of an upstream may fail until it gets no more calls.
-const UNHEALTHY_TIME: Duration = Duration::from_millis(100);
+/// Heartbeats after which the store drops the entry of an upstream that sends none.
+const LAPSE_BEATS: u32 = 3;
 
-/// How long a failed health check counts: it is asked again before it may take calls.
-pub(super) const UNHEALTHY_MEMORY: Duration = Duration::from_secs(1);
+/// How much later than the store a host knows that an entry was dropped: two reads of the list.
+const READ_LAG: Duration = Duration::from_millis(1200);
+
+/// The time between two heartbeats of an upstream, unless a setting says otherwise.
+const HEARTBEAT: Duration = Duration::from_millis(1500);
 
 /// Entries of a list, as it changes.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Registry {
     upstreams: RefCell<IndexMap<Rc<str>, Rc<upstream::Upstream>>>,
     evacuated: RefCell<IndexSet<Rc<str>>>,
@@ -31,11 +34,30 @@
     store_back: Cell<Option<Instant>>,
     /// Since when the store can't be read.
     store_lost: Cell<Option<Instant>>,
+    heartbeat: Cell<Duration>,
     /// Notified when upstreams come, go or change.
     pub changed: signal::Signal,
 }
 
+impl Default for Registry {
+    fn default() -> Registry {
+        Registry {
+            upstreams: RefCell::default(),
+            evacuated: RefCell::default(),
+            store_back: Cell::default(),
+            store_lost: Cell::default(),
+            heartbeat: Cell::new(HEARTBEAT),
+            changed: signal::Signal::default(),
+        }
+    }
+}
+
 impl Registry {
+    /// Sets how often upstreams write their entries.
+    pub fn set_heartbeat(&self, heartbeat: Duration) {
+        self.heartbeat.set(heartbeat);
+    }
+
     /// Takes in an entry of the list, or that there is none under this id.
     pub fn apply(&self, id: Rc<str>, entry: Option<upstream::Entry>, now: Instant) {
         let known = self.upstreams.borrow().get(&id).cloned();
@@ -70,6 +92,13 @@
         }
     }
 
+    /// Takes in an entry that says nothing new.
+    pub fn renew(&self, id: &str, entry: &upstream::Entry, now: Instant) {
+        if let Some(known) = self.upstreams.borrow().get(id) {
+            known.renew(entry, now);
+        }
+    }
+
     /// Takes in the whole list: what is not in it is gone.
     pub fn replace(&self, entries: Vec<(Rc<str>, Option<upstream::Entry>)>, now: Instant) {
         let listed: IndexSet<Rc<str>> =
@@ -129,10 +158,14 @@
         listed.map(change).collect()
     }
 
-    /// Drops upstreams whose entries are missing for good, and idle connections.
+    /// Drops upstreams whose entries are missing for good and can't come late any more, and idle connections.
     pub fn tidy(&self, now: Instant) {
         let mut upstreams = self.upstreams.borrow_mut();
-        upstreams.retain(|_, u| u.in_flight() > 0 || !self.is_gone(u, now));
+        let is_recent = |u: &upstream::Upstream| {
+            let since = u.gone_since();
+            since.is_some_and(|at| now.saturating_duration_since(at) < upstream::LATE_WRITE_TIME)
+        };
+        upstreams.retain(|_, u| u.in_flight() > 0 || is_recent(u) || !self.is_gone(u, now));
         upstreams.values().for_each(|u| u.close_idle(now));
     }
 
@@ -155,16 +188,34 @@
     /// Whether an upstream may get calls.
     pub fn is_open(&self, upstream: &upstream::Upstream, now: Instant) -> bool {
         let entry = upstream.entry();
-        let unhealthy = upstream.refused_health().is_some_and(|since| {
-            let passed = now.saturating_duration_since(since);
-            (UNHEALTHY_TIME..UNHEALTHY_MEMORY).contains(&passed)
-        });
         !entry.leaving
             && !self.is_gone(upstream, now)
-            && !unhealthy
             && !self.evacuated.borrow().contains(&entry.data_centre)
     }
 
+    /// Whether an upstream may be leaving, by its health check, though its entry does not say so.
+    ///
+    /// An upstream that leaves stops writing that it is ready: an entry that is still there once it would have
+    /// lapsed was written after the check began to fail, and then failures decide.
+    pub fn is_doubtful(&self, upstream: &upstream::Upstream, now: Instant) -> bool {
+        let memory = self.heartbeat.get() * LAPSE_BEATS + READ_LAG;
+        let since = upstream.refused_health();
+        since.is_some_and(|since| now.saturating_duration_since(since) < memory)
+    }
+
+    /// Those that are not doubtful, or all where every one is: false health answers empty no service.
+    pub fn undoubted<'a>(
+        &self,
+        upstreams: Vec<&'a Rc<upstream::Upstream>>,
+        now: Instant,
+    ) -> Vec<&'a Rc<upstream::Upstream>> {
+        let is_sure = |u: &&Rc<upstream::Upstream>| !self.is_doubtful(u, now);
+        match upstreams.iter().any(is_sure) {
+            true => upstreams.into_iter().filter(is_sure).collect(),
+            false => upstreams,
+        }
+    }
+
     /// Whether the store has been away for so long that entries of live upstreams may lapse.
     fn is_store_lost(&self, now: Instant) -> bool {
         let lost = self.store_lost.get();
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -132,6 +132,7 @@
     }
     let desk = Rc::new(news::Desk::new(Rc::clone(&members), settings.first_start));
     desk.moves.set_exposure(settings.exposure_share);
+    desk.registry.set_heartbeat(settings.heartbeat);
     let front = front(&settings, store.protocol(), &desk);
     let peer = Rc::new(sockets.peer);
     monoio::spawn(cluster::receive(Rc::clone(&desk), Rc::clone(&peer)));
--- a/crates/basilhaven/src/gateway/settings.rs
+++ b/crates/basilhaven/src/gateway/settings.rs
@@ -67,6 +67,9 @@
     /// Probes of one upstream a second, over all hosts
     #[bpaf(long, env("BASILHAVEN_PROBE_RATE"), argument("N"), fallback("60".to_owned()))]
     pub probe_rate: String,
+    /// Time between two entries that an upstream writes of itself, in seconds
+    #[bpaf(long, env("BASILHAVEN_HEARTBEAT_S"), argument("S"), fallback("1.5".to_owned()))]
+    pub heartbeat_s: String,
     /// How much this host can carry, in cores
     #[bpaf(long, env("BASILHAVEN_CORES"), argument("N"), fallback("1".to_owned()))]
     pub cores: String,
@@ -110,6 +113,8 @@
     pub exposure_share: f64,
     /// Probes of one upstream a second, over all hosts.
     pub probe_rate: f64,
+    /// Time between two entries that an upstream writes of itself.
+    pub heartbeat: Duration,
     /// How much this host can carry, compared with other hosts.
     pub capacity: u8,
     /// What is logged.
@@ -150,6 +155,7 @@
         let retry_slack = number("--retry-slack", &raw.retry_slack);
         let exposure_share = number("--exposure-share", &raw.exposure_share);
         let probe_rate = number("--probe-rate", &raw.probe_rate);
+        let heartbeat = number("--heartbeat-s", &raw.heartbeat_s);
         let cores = number("--cores", &raw.cores);
         let log = findings.keep("--log", crate::settings::Level::try_from(&*raw.log));
         let settings = (|| {
@@ -170,6 +176,7 @@
                 retry_slack: retry_slack?,
                 exposure_share: exposure_share?,
                 probe_rate: probe_rate?,
+                heartbeat: Duration::try_from_secs_f64(heartbeat?).ok()?,
                 capacity: (cores? * CAPACITY_PER_CORE).clamp(1.0, u8::MAX.into()) as u8,
                 log: log?,
             })
--- a/crates/basilhaven/src/gateway/upstream.rs
+++ b/crates/basilhaven/src/gateway/upstream.rs
@@ -1,6 +1,7 @@
 //! One upstream: what it says of itself, what was seen of it, and its open connections.
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -32,6 +33,10 @@
 /// takes from an upstream through the store to a host.
 const COLD_TOLERANCE: Duration = Duration::from_millis(800);
 
+/// How long an entry may reach the store after the upstream has given up on it: calls without an answer are
+/// performed seconds later.
+pub(super) const LATE_WRITE_TIME: Duration = Duration::from_secs(10);
+
 /// What an upstream says of itself in the store.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
@@ -51,6 +56,8 @@
     pub cold_left: Duration,
     /// The Unix millisecond of its start; two starts under one id differ in it.
     pub started_ms: u64,
+    /// What it has written of itself since its start, counted.
+    pub beat: u64,
 }
 
 /// A load report, and when it came.
@@ -122,15 +129,43 @@
         self.entry.borrow()
     }
 
-    /// Whether an entry says more than is known of it: not if only the rest of its cold start has become
-    /// shorter with time.
+    /// Whether an entry says more than is known of it: not if it was written earlier, or only the rest of its
+    /// cold start has become shorter with time.
     pub fn is_news(&self, entry: &Entry, now: Instant) -> bool {
+        if self.is_outdated(entry, now) {
+            return false;
+        }
         let known = self.entry.borrow();
-        let is_same = Entry { cold_left: known.cold_left, ..entry.clone() } == *known;
+        let is_same =
+            Entry { cold_left: known.cold_left, beat: known.beat, ..entry.clone() } == *known;
         let is_expected = entry.cold_left.abs_diff(self.cold_left(now)) <= COLD_TOLERANCE;
         !is_same || self.gone_since.get().is_some() || !entry.cold_left.is_zero() && !is_expected
     }
 
+    /// Whether an entry was written before what is known, though it has come after it.
+    ///
+    /// An entry that was removed comes back with a higher beat if the upstream lives.
+    pub fn is_outdated(&self, entry: &Entry, now: Instant) -> bool {
+        let known = self.entry.borrow();
+        let gone_since = self.gone_since.get();
+        if gone_since.is_some_and(|at| now.saturating_duration_since(at) >= LATE_WRITE_TIME) {
+            return false;
+        }
+        match entry.started_ms.cmp(&known.started_ms) {
+            Ordering::Less => true,
+            Ordering::Greater => false,
+            Ordering::Equal if gone_since.is_some() => entry.beat <= known.beat,
+            Ordering::Equal => entry.beat < known.beat,
+        }
+    }
+
+    /// Notes that it has written an entry that says nothing new.
+    pub fn renew(&self, entry: &Entry, now: Instant) {
+        if !self.is_outdated(entry, now) {
+            self.entry.borrow_mut().beat = entry.beat;
+        }
+    }
+
     /// Its point on the ring by which hosts choose upstreams.
     pub fn point(&self) -> u64 {
         self.point
@@ -146,10 +181,22 @@
         self.warmup.left(now)
     }
 
-    /// Takes in what it newly says of itself.
-    pub fn update(&self, entry: Entry, now: Instant) {
+    /// Takes in what it newly says of itself, unless that was written earlier than what is known.
+    pub fn update(&self, mut entry: Entry, now: Instant) {
+        if self.is_outdated(&entry, now) {
+            tracing::info!(
+                event = "entry_outdated",
+                upstream = &*self.id,
+                started_ms = entry.started_ms,
+                beat = entry.beat,
+                known_beat = self.entry().beat,
+            );
+            return;
+        }
         let moved = {
             let known = self.entry.borrow();
+            // Who leaves does not come back without a new start.
+            entry.leaving |= known.leaving && known.started_ms == entry.started_ms;
             known.address != entry.address || known.started_ms != entry.started_ms
         };
         if moved {
@@ -240,9 +287,10 @@
         failures * (-passed / FAILURE_HALF_LIFE.as_secs_f64()).exp2()
     }
 
-    /// Notes whether its health check passes.
+    /// Notes whether its health check passes; one that keeps failing has failed since the first time.
     pub fn note_health(&self, now: Instant, healthy: bool) {
-        self.refused_health.set((!healthy).then_some(now));
+        let since = self.refused_health.get().unwrap_or(now);
+        self.refused_health.set((!healthy).then_some(since));
     }
 
     /// Since when its health check fails.
--- /dev/null
+++ b/crates/basilhaven/tests/gateway/belief.rs
@@ -0,0 +1,133 @@
+//! What is believed of an upstream never goes back within one start of it.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use basilhaven::gateway::cluster::{Members, Record};
+use basilhaven::gateway::news::Desk;
+use basilhaven::gateway::registry::Registry;
+use basilhaven::gateway::store::{Change, Source};
+use basilhaven::gateway::upstream::{Entry, Upstream};
+
+use crate::entry;
+
+fn desk() -> Desk {
+    let record = Record {
+        peer: "10.0.0.1:1".parse().expect("an address"),
+        callers: "10.0.0.1:2".parse().expect("an address"),
+        data_centre: "a".into(),
+    };
+    Desk::new(Rc::new(Members::new(&record, 1, Instant::now())), false)
+}
+
+fn written(started_ms: u64, beat: u64, leaving: bool) -> Change {
+    let entry = Entry { started_ms, beat, leaving, ..entry("catalogo", "v1", "a") };
+    Change::Upstream { id: "u1".into(), entry: Some(entry) }
+}
+
+const REMOVED: fn() -> Change = || Change::Upstream { id: "u1".into(), entry: None };
+
+/// Whether `u1` may get calls after some rows, each read by itself.
+fn is_open_after(rows: Vec<Change>) -> bool {
+    let (desk, now) = (desk(), Instant::now());
+    desk.take(Source::Upstreams, true, 1, Vec::new(), now);
+    for (revision, row) in (2..).zip(rows) {
+        desk.take(Source::Upstreams, false, revision, vec![row], now);
+    }
+    is_open(&desk.registry, now)
+}
+
+fn is_open(registry: &Registry, now: Instant) -> bool {
+    registry.of_service("catalogo").iter().any(|upstream| registry.is_open(upstream, now))
+}
+
+#[test]
+fn an_older_entry_that_comes_after_its_leaving_opens_nothing() {
+    assert!(!is_open_after(vec![written(1, 4, false), written(1, 6, true), written(1, 5, false)]));
+    assert!(!is_open_after(vec![written(1, 6, true), written(1, 5, false)]));
+    assert!(!is_open_after(vec![written(1, 6, true), written(1, 7, false)]), "it left for good");
+}
+
+#[test]
+fn a_heartbeat_that_says_nothing_new_still_counts_as_the_newest() {
+    let rows = vec![written(1, 4, false), written(1, 7, false), REMOVED(), written(1, 6, false)];
+    assert!(!is_open_after(rows), "written before the removal");
+    let rows = vec![written(1, 4, false), written(1, 7, false), REMOVED(), written(1, 8, false)];
+    assert!(is_open_after(rows), "it lives");
+}
+
+#[test]
+fn an_entry_of_an_earlier_start_says_nothing_of_the_present_one() {
+    assert!(is_open_after(vec![written(1, 9, true), written(2, 1, false), written(1, 8, true)]));
+    assert!(!is_open_after(vec![written(2, 3, true), written(1, 9, false)]));
+}
+
+#[test]
+fn a_new_start_under_the_same_id_is_taken_though_it_counts_anew() {
+    assert!(is_open_after(vec![written(1, 9, true), written(2, 1, false)]));
+    assert!(is_open_after(vec![written(1, 9, false), REMOVED(), written(2, 1, false)]));
+}
+
+#[test]
+fn a_late_entry_is_told_from_a_new_one_for_seconds_after_the_upstream_was_dropped() {
+    let (desk, start) = (desk(), Instant::now());
+    let at = |s| start + Duration::from_secs(s);
+    desk.take(Source::Upstreams, true, 1, vec![written(1, 6, true)], start);
+    desk.take(Source::Upstreams, false, 2, vec![REMOVED()], at(1));
+    desk.registry.tidy(at(4));
+    desk.take(Source::Upstreams, false, 3, vec![written(1, 5, false)], at(6));
+    assert!(!is_open(&desk.registry, at(6)));
+    desk.registry.tidy(at(20));
+    assert_eq!(desk.registry.len(), 0, "it is forgotten in the end");
+}
+
+#[test]
+fn a_list_that_is_read_whole_or_comes_from_another_host_takes_nothing_back() {
+    let (desk, now) = (desk(), Instant::now());
+    desk.take(Source::Upstreams, true, 1, vec![written(1, 6, true)], now);
+    desk.take(Source::Upstreams, true, 9, vec![written(1, 5, false)], now);
+    assert!(!is_open(&desk.registry, now));
+    let follower = self::desk();
+    follower.take(Source::Upstreams, true, 9, desk.whole(Source::Upstreams), now);
+    follower.take(Source::Upstreams, false, 10, vec![written(1, 5, false)], now);
+    assert!(!is_open(&follower.registry, now));
+}
+
+fn upstreams(registry: &Registry) -> Vec<Rc<Upstream>> {
+    registry.of_service("catalogo")
+}
+
+#[test]
+fn who_refuses_its_health_check_gets_nothing_while_another_can_take_the_call() {
+    let (registry, start) = (Registry::default(), Instant::now());
+    for id in ["u1", "u2"] {
+        registry.apply(id.into(), Some(entry("catalogo", "v1", "a")), start);
+    }
+    let all = upstreams(&registry);
+    let ids = |now| {
+        let kept = registry.undoubted(all.iter().collect(), now);
+        kept.iter().map(|upstream| upstream.id.to_string()).collect::<Vec<_>>()
+    };
+    let at = |ms| start + Duration::from_millis(ms);
+    // The store drops an entry after three heartbeats of silence; until then an upstream that leaves may
+    // still be listed as ready.
+    for ms in (0..4500).step_by(500) {
+        all[0].note_health(at(ms), false);
+        assert_eq!(ids(at(ms)), ["u2"], "after {ms} ms");
+    }
+    assert_eq!(ids(at(6000)), ["u1", "u2"], "it has written since that it is ready");
+    all[0].note_health(at(6000), true);
+    all[0].note_health(at(6100), false);
+    assert_eq!(ids(at(6100)), ["u2"], "it fails anew");
+}
+
+#[test]
+fn false_health_answers_of_all_upstreams_empty_no_service() {
+    let (registry, now) = (Registry::default(), Instant::now());
+    for id in ["u1", "u2"] {
+        registry.apply(id.into(), Some(entry("catalogo", "v1", "a")), now);
+    }
+    let all = upstreams(&registry);
+    all.iter().for_each(|upstream| upstream.note_health(now, false));
+    assert_eq!(registry.undoubted(all.iter().collect(), now).len(), 2);
+}
--- a/crates/basilhaven/tests/gateway/main.rs
+++ b/crates/basilhaven/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Rules of the gateway's parts, without a network.
 
+mod belief;
 mod choice;
 mod cluster;
 mod moves;
@@ -23,6 +24,7 @@
         leaving: false,
         cold_left: Duration::ZERO,
         started_ms: 1,
+        beat: 1,
     }
 }
 
