Send calls on the connections on which upstreams were asked for their load

Probes now use the pool that calls use, and the call that follows takes the connection that has just answered. An idle connection that turns out closed no longer counts against its upstream; after a probe that timed out all idle ones are closed, since they may be silent for good.

An answer to a health check that comes late is told from a call's answer: it names the upstream and no call. A call's late answer is told by its id. Tests: ten calls 0.6 s apart opened 12 connections to two upstreams, now at most four; second copies of answers, of calls and of health checks, that come when the next request is there (the first seen failing, the second holds on both sides of the change).

--- a/crates/basilhaven-bench/src/standin/users/upstream.rs
+++ b/crates/basilhaven-bench/src/standin/users/upstream.rs
@@ -24,6 +24,10 @@
     CutsAnswers,
     /// It runs them and sends each answer twice.
     AnswersTwice,
+    /// It runs them, and sends each answer a second time when the next request has come.
+    AnswersAgainLate,
+    /// It runs them, and answers each health check a second time when the next request has come.
+    HealthAgainLate,
     /// It runs them and answers without the mark of its answers.
     OmitsSignature,
     /// It runs them and fails.
@@ -44,6 +48,7 @@
     ran: Vec<(String, Request, Instant)>,
     cancelled: usize,
     beat: u64,
+    connections: usize,
 }
 
 /// The upstream; its threads end with the process.
@@ -70,6 +75,7 @@
             ran: Vec::new(),
             cancelled: 0,
             beat: 0,
+            connections: 0,
         };
         let upstream = Upstream {
             id: id.to_owned(),
@@ -154,6 +160,11 @@
         self.address
     }
 
+    /// Connections that were opened to it.
+    pub fn connections(&self) -> usize {
+        self.lock().connections
+    }
+
     /// Calls whose connections were closed while it worked on them.
     pub fn cancelled(&self) -> usize {
         self.lock().cancelled
@@ -161,8 +172,12 @@
 
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
+        self.lock().connections += 1;
+        let mut late = Late::default();
         while let Some(request) = read_request(&mut stream)? {
-            if request.path() == "/healthz" {
+            let is_check = request.path() == "/healthz";
+            late.meet(&mut stream, &request, is_check, self.lock().behaviour)?;
+            if is_check {
                 let (status, load) = {
                     let state = self.lock();
                     (if state.healthy { 200 } else { 503 }, state.load.clone())
@@ -211,6 +226,9 @@
                 write_response(stream, 200, &signed, &body)?;
                 write_response(stream, 200, &signed, &body)?;
             }
+            Behaviour::AnswersAgainLate | Behaviour::HealthAgainLate => {
+                write_response(stream, 200, &signed, &body)?;
+            }
             Behaviour::OmitsSignature => {
                 write_response(stream, 200, &[(REQUEST_ID, &*id)], &body)?;
             }
@@ -235,3 +253,36 @@
         stream.shutdown(Shutdown::Both)
     }
 }
+
+/// What is sent a second time on a connection, once the next request has come.
+#[derive(Debug, Default)]
+struct Late {
+    call: Option<String>,
+    is_check_due: bool,
+}
+
+impl Late {
+    fn meet(
+        &mut self,
+        stream: &mut TcpStream,
+        request: &Request,
+        is_check: bool,
+        behaviour: Behaviour,
+    ) -> io::Result<()> {
+        if let Some(id) = self.call.take() {
+            let signed = [(REQUEST_ID, &*id), ("x-basilhaven-server-signature", "s.1")];
+            write_response(stream, 200, &signed, format!("{id} again").as_bytes())?;
+        }
+        if std::mem::take(&mut self.is_check_due) {
+            write_response(stream, 503, &[("x-basilhaven-instance-id", "late")], b"")?;
+        }
+        match behaviour {
+            Behaviour::AnswersAgainLate if !is_check => {
+                self.call = request.header(REQUEST_ID).map(str::to_owned);
+            }
+            Behaviour::HealthAgainLate => self.is_check_due = is_check,
+            _ => {}
+        }
+        Ok(())
+    }
+}
--- a/crates/basilhaven-bench/tests/gateway/answers.rs
+++ b/crates/basilhaven-bench/tests/gateway/answers.rs
@@ -178,3 +178,34 @@
         assert_eq!((answer.status, world.runs_of("id-1")), (503, 0));
     });
 }
+
+#[test]
+fn a_second_copy_of_an_answer_that_comes_late_is_nobodys_answer() {
+    block_on(async {
+        for behaviour in [Behaviour::AnswersAgainLate, Behaviour::HealthAgainLate] {
+            let world = World::start(&[behaviour]).await;
+            for number in 0..30 {
+                let (method, path) = [("GET", "/safe/1"), ("POST", "/unsafe/1")][number % 2];
+                let id = format!("id-{number}");
+                let answer = world.host.call(method, path, &id).unwrap();
+                assert_eq!((answer.status, &*answer.body), (200, &*format!("{id} by i-0")));
+                assert_eq!(world.runs_of(&id), 1);
+            }
+        }
+    });
+}
+
+#[test]
+fn calls_use_the_connections_on_which_upstreams_were_asked_for_their_load() {
+    block_on(async {
+        let world = World::start(&[PROMPT, PROMPT]).await;
+        for number in 0..10 {
+            // Longer apart than a connection may have been idle for a call that may not run twice.
+            monoio::time::sleep(Duration::from_millis(600)).await;
+            let answer = world.host.call("POST", "/unsafe/1", &format!("id-{number}")).unwrap();
+            assert_eq!(answer.status, 200);
+        }
+        let opened: usize = world.upstreams.iter().map(|upstream| upstream.connections()).sum();
+        assert!(opened <= 4, "{opened} connections to two upstreams for ten calls");
+    });
+}
--- a/crates/basilhaven/src/gateway/attempt.rs
+++ b/crates/basilhaven/src/gateway/attempt.rs
@@ -177,6 +177,8 @@
         let echoed = response.parts.headers.get(&protocol.fields.request_id);
         let is_own = match (echoed, &call.id) {
             (Some(echoed), Some(id)) => echoed == id,
+            // Only answers to health checks name the upstream and no call.
+            (None, Some(_)) => !response.parts.headers.contains_key(&protocol.fields.upstream_id),
             _ => true,
         };
         let body = hold(conn, &mut reader).await?;
@@ -245,7 +247,7 @@
 }
 
 /// How long the upstream keeps an idle connection, when it says so.
-fn keep_time(headers: &HeaderMap) -> Option<Duration> {
+pub(super) fn keep_time(headers: &HeaderMap) -> Option<Duration> {
     const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
     let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
     let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
--- a/crates/basilhaven/src/gateway/probe.rs
+++ b/crates/basilhaven/src/gateway/probe.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderValue};
 
-use super::{cluster, protocol, upstream};
+use super::{attempt, cluster, protocol, upstream};
 use crate::http1::{self, body, client};
 
 /// The longest that a probe may take; upstreams answer it at once, beside the round trip.
@@ -85,32 +85,56 @@
             }
             Err(_) => {
                 tracing::debug!(event = "probe_timed_out", upstream = &*upstream.id);
+                // Open connections may have gone silent for good while new ones work.
+                upstream.close_all();
                 upstream.note_failure(now, FAILURE_WEIGHT);
             }
         }
     }
 
-    /// The head of the answer; the connection is kept when it may carry another probe.
+    /// The head of the answer.
+    ///
+    /// A call takes the connection right after it, which so is known to be open. One that was idle may have
+    /// been closed meanwhile, which says nothing of the upstream: it is asked again on a new one.
     async fn ask(
         &self,
         upstream: &upstream::Upstream,
         path: &str,
+    ) -> Result<(http::StatusCode, HeaderMap), http1::Error> {
+        if let Some(conn) = upstream.take_conn(Instant::now(), Duration::MAX) {
+            match self.exchange(conn, upstream, path).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) => {
+                    tracing::debug!(event = "idle_lost", upstream = &*upstream.id, %error);
+                }
+            }
+        }
+        let address = upstream.entry().address;
+        let conn = http1::Conn::open(address, TIMEOUT).await?;
+        self.exchange(conn, upstream, path).await
+    }
+
+    /// Asks on a connection, which is kept when it may carry another request.
+    async fn exchange(
+        &self,
+        mut conn: http1::Conn,
+        upstream: &upstream::Upstream,
+        path: &str,
     ) -> Result<(http::StatusCode, HeaderMap), http1::Error> {
         let address = upstream.entry().address;
-        let kept = upstream.probe_conn.borrow_mut().take().filter(http1::Conn::is_idle);
-        let mut conn = match kept {
-            Some(conn) => conn,
-            None => http1::Conn::open(address, TIMEOUT).await?,
-        };
         conn.write(request(path, address)).await?;
         let response = conn.read_response(&http::Method::GET, MAX_HEAD_LEN).await?;
+        let headers = response.parts.headers;
+        if headers.contains_key(&self.protocol.fields.request_id) {
+            return Err(http1::Error::malformed("late answer to a call"));
+        }
         let mut reader = body::Reader::new(response.framing);
         client::read_all(&mut conn, &mut reader, MAX_BODY_LEN).await?;
-        let kept = http1::head::keeps_alive(response.parts.version, &response.parts.headers);
+        let kept = http1::head::keeps_alive(response.parts.version, &headers);
         if kept && response.framing != body::Framing::UntilClose && !conn.has_leftover() {
-            *upstream.probe_conn.borrow_mut() = Some(conn.without_buffer());
+            upstream.keep_conn(conn, Instant::now(), attempt::keep_time(&headers));
         }
-        Ok((response.parts.status, response.parts.headers))
+        Ok((response.parts.status, headers))
     }
 
     fn take(
--- a/crates/basilhaven/src/gateway/upstream.rs
+++ b/crates/basilhaven/src/gateway/upstream.rs
@@ -17,7 +17,7 @@
 /// How much earlier than the upstream this host closes an idle connection.
 const KEEP_MARGIN: Duration = Duration::from_secs(1);
 
-/// Idle connections kept to one upstream for calls.
+/// Idle connections kept to one upstream, for calls and probes.
 const MAX_IDLE: usize = 4;
 
 /// The time in which what was seen of failures halves.
@@ -89,7 +89,6 @@
     sent_since_report: Cell<u32>,
     pub(super) warmup: cold::Warmup,
     idle: RefCell<Vec<Idle>>,
-    pub(super) probe_conn: RefCell<Option<http1::Conn>>,
     pub(super) is_probed: Cell<bool>,
     pub(super) probe_tokens: Cell<(f64, Instant)>,
     /// Notified when a probe has ended.
@@ -110,7 +109,6 @@
             sent_since_report: Cell::default(),
             warmup: cold::Warmup::default(),
             idle: RefCell::default(),
-            probe_conn: RefCell::default(),
             is_probed: Cell::default(),
             probe_tokens: Cell::new((1.0, now)),
             probed: signal::Signal::default(),
@@ -200,8 +198,7 @@
             known.address != entry.address || known.started_ms != entry.started_ms
         };
         if moved {
-            self.idle.borrow_mut().clear();
-            self.probe_conn.borrow_mut().take();
+            self.close_all();
             self.report.set(None);
             self.failures.set((0.0, now));
             self.refused_health.set(None);
@@ -325,6 +322,11 @@
         idle.push(Idle { conn: conn.without_buffer(), since: now, keep });
     }
 
+    /// Closes all idle connections.
+    pub fn close_all(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes connections that have been idle for long.
     pub fn close_idle(&self, now: Instant) {
         self.idle.borrow_mut().retain(|one| now.saturating_duration_since(one.since) < one.keep);
