Bound interim responses and bodies without end, and let other tasks run meanwhile

Cause: interim responses were passed over without a limit, and a read that finds bytes each time never lets the runtime go on: one upstream that sent 102 without end held the whole host for 20 s, timers included. A body without end was passed on for as long as bytes were there, past the deadline.

Now 16 interim responses are passed over, each connection yields after 16 reads, and a body is given up at the call's deadline with a reset.

--- a/crates/basilhaven-bench/src/standin/users/upstream.rs
+++ b/crates/basilhaven-bench/src/standin/users/upstream.rs
@@ -38,6 +38,48 @@
     IsAnother,
     /// It runs them and never answers.
     Hangs,
+    /// It runs them and sends bytes that have no end.
+    Endless(Endless),
+}
+
+/// Where bytes come without end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Endless {
+    /// Interim responses.
+    Interim,
+    /// Fields of a head.
+    Head,
+    /// The extension of a chunk.
+    ChunkExtension,
+    /// Trailing fields after the last chunk.
+    Trailer,
+    /// A body, in chunks.
+    Body,
+    /// A chunk that stays open with a byte now and then.
+    SlowBody,
+}
+
+impl Endless {
+    /// What is sent once, what again and again, and after which pause.
+    fn bytes(self, id: &str) -> (String, Vec<u8>, Duration) {
+        let chunked = format!(
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n{REQUEST_ID}: {id}\r\n\
+             x-basilhaven-server-signature: s.1\r\n\r\n"
+        );
+        let (start, again) = match self {
+            Endless::Interim => (String::new(), "HTTP/1.1 102 Processing\r\n\r\n".repeat(400)),
+            Endless::Head => ("HTTP/1.1 200 OK\r\n".to_owned(), "x: y\r\n".repeat(1000)),
+            Endless::ChunkExtension => (format!("{chunked}5;"), "a=b;".repeat(1000)),
+            Endless::Trailer => (format!("{chunked}0\r\n"), "x: y\r\n".repeat(1000)),
+            Endless::Body => (chunked, format!("1000\r\n{}\r\n", "x".repeat(0x1000))),
+            Endless::SlowBody => (format!("{chunked}ffffff\r\n"), "x".to_owned()),
+        };
+        let pause = match self {
+            Endless::SlowBody => Duration::from_millis(50),
+            _ => Duration::ZERO,
+        };
+        (start, again.into_bytes(), pause)
+    }
 }
 
 #[derive(Debug)]
@@ -237,6 +279,15 @@
                 self.await_close(stream)?;
                 return Ok(false);
             }
+            Behaviour::Endless(place) => {
+                let (start, again, pause) = place.bytes(&id);
+                stream.write_all(start.as_bytes())?;
+                // Until the caller closes, which is an error of the write.
+                loop {
+                    stream.write_all(&again)?;
+                    std::thread::sleep(pause);
+                }
+            }
             Behaviour::Serves(time) => {
                 std::thread::sleep(time);
                 write_response(stream, 200, &signed, &body)?;
--- a/crates/basilhaven-bench/tests/gateway/answers.rs
+++ b/crates/basilhaven-bench/tests/gateway/answers.rs
@@ -1,9 +1,10 @@
 //! Each caller gets the right and whole answer, and a call that may not be repeated runs once.
 
+use std::io::Read as _;
 use std::time::{Duration, Instant};
 
 use basilhaven_bench::standin::block_on;
-use basilhaven_bench::standin::users::upstream::Behaviour;
+use basilhaven_bench::standin::users::upstream::{Behaviour, Endless};
 
 use crate::world::{receive, send, wait_until, World, PROMPT};
 
@@ -209,3 +210,78 @@
         assert!(opened <= 4, "{opened} connections to two upstreams for ten calls");
     });
 }
+
+/// What a caller saw of an answer until its connection ended, and how long that took.
+fn watch_answer(world: &World, method: &str, path: &str, id: &str) -> (Vec<u8>, Duration) {
+    let mut stream = world.host.open().unwrap();
+    let started = Instant::now();
+    send(&mut stream, method, path, id, 1000).unwrap();
+    let (mut seen, mut piece) = (Vec::new(), vec![0; 65536]);
+    loop {
+        match stream.read(&mut piece) {
+            Ok(0) | Err(_) => return (seen, started.elapsed()),
+            Ok(len) => seen.extend_from_slice(&piece[..len.min(1 << 20)]),
+        }
+        // One whole answer without a body is enough.
+        if seen.ends_with(b"content-length: 0\r\n\r\n") {
+            return (seen, started.elapsed());
+        }
+        assert!(started.elapsed() < Duration::from_secs(10), "{} bytes so far", seen.len());
+    }
+}
+
+fn resident_mb(world: &World) -> f64 {
+    let status = format!("/proc/{}/status", world.host.process.id());
+    let status = std::fs::read_to_string(status).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+    line.trim().trim_end_matches(" kB").parse::<f64>().unwrap() / 1024.0
+}
+
+#[test]
+fn bytes_without_end_hold_a_call_no_longer_than_its_deadline_and_no_memory() {
+    block_on(async {
+        let places = [
+            Endless::Interim,
+            Endless::Head,
+            Endless::ChunkExtension,
+            Endless::Trailer,
+            Endless::Body,
+            Endless::SlowBody,
+        ];
+        for place in places {
+            let world = World::start(&[Behaviour::Endless(place)]).await;
+            for (number, (method, path)) in
+                [("GET", "/safe/1"), ("POST", "/unsafe/1")].into_iter().enumerate()
+            {
+                let id = format!("id-{number}");
+                let (seen, took) = watch_answer(&world, method, path, &id);
+                assert!(took < Duration::from_millis(2500), "{place:?}: {took:?}");
+                let text = String::from_utf8_lossy(&seen[..seen.len().min(200)]).into_owned();
+                // It may have run: nothing says that it has not, and no body looks whole.
+                let is_failure =
+                    text.starts_with("HTTP/1.1 502") || text.starts_with("HTTP/1.1 504");
+                let is_cut = text.starts_with("HTTP/1.1 200") && !seen.ends_with(b"0\r\n\r\n");
+                assert!(is_failure || is_cut, "{place:?}: {text}");
+                // A safe call may be sent to the upstream once more.
+                let most = if method == "GET" { 2 } else { 1 };
+                assert!((1..=most).contains(&world.runs_of(&id)), "{place:?}");
+            }
+            // The host still serves at once, and pages too.
+            assert!(world.host.is_ready());
+            assert!(resident_mb(&world) < 64.0, "{place:?}: {} MB", resident_mb(&world));
+        }
+    });
+}
+
+#[test]
+fn a_host_serves_others_while_an_upstream_sends_without_end() {
+    block_on(async {
+        let world = World::start(&[Behaviour::Endless(Endless::Interim), PROMPT]).await;
+        for number in 0..20 {
+            let started = Instant::now();
+            let answer = world.host.call("GET", "/safe/1", &format!("id-{number}")).unwrap();
+            assert_eq!(answer.status, 200);
+            assert!(started.elapsed() < Duration::from_millis(500), "{:?}", started.elapsed());
+        }
+    });
+}
--- a/crates/basilhaven/src/gateway/attempt.rs
+++ b/crates/basilhaven/src/gateway/attempt.rs
@@ -85,6 +85,8 @@
     pub reader: body::Reader,
     /// How the body is framed for the caller.
     pub framing: body::Framing,
+    /// When its caller stops waiting.
+    pub until: Instant,
 }
 
 /// What became of a send.
@@ -119,7 +121,7 @@
         Err(_) => return End::Unknown(Cause::Timeout),
     };
     match received {
-        Ok(received) => finish(received, conn, upstream),
+        Ok(received) => finish(received, conn, upstream, call.until),
         Err(error) => {
             tracing::debug!(event = "exchange_failed", upstream = &*upstream.id, %error);
             End::Unknown(match error.category() {
@@ -131,7 +133,10 @@
 }
 
 /// Waits for something until a moment.
-async fn within<F>(until: Instant, work: F) -> Result<F::Output, monoio::time::error::Elapsed>
+pub(super) async fn within<F>(
+    until: Instant,
+    work: F,
+) -> Result<F::Output, monoio::time::error::Elapsed>
 where
     F: std::future::Future,
 {
@@ -227,14 +232,19 @@
     Received { response, body, reader, not_run, right, reusable }
 }
 
-fn finish(received: Received, conn: http1::Conn, upstream: &upstream::Upstream) -> End {
+fn finish(
+    received: Received,
+    conn: http1::Conn,
+    upstream: &upstream::Upstream,
+    until: Instant,
+) -> End {
     let Received { response, body, reader, not_run, right, reusable } = received;
     let mut headers = response.parts.headers;
     let mut rest = None;
     if reusable {
         upstream.keep_conn(conn, Instant::now(), keep_time(&headers));
     } else if !reader.is_done() {
-        rest = Some(Box::new(Rest { conn, reader, framing: response.framing }));
+        rest = Some(Box::new(Rest { conn, reader, framing: response.framing, until }));
     }
     if not_run {
         return End::NotRun(Cause::Shed);
--- a/crates/basilhaven/src/gateway/front.rs
+++ b/crates/basilhaven/src/gateway/front.rs
@@ -548,15 +548,24 @@
     conn.write_within(encoded, SEND_TIMEOUT).await?;
     conn.write_within(body::encode_piece(framing, start), SEND_TIMEOUT).await?;
     loop {
-        match rest.reader.next(&mut rest.conn).await {
-            Ok(Some(piece)) => {
+        // A timeout alone does not end bytes that are always there already.
+        let piece = match Instant::now() < rest.until {
+            true => attempt::within(rest.until, rest.reader.next(&mut rest.conn)).await.ok(),
+            false => None,
+        };
+        match piece {
+            Some(Ok(Some(piece))) => {
                 conn.write_within(body::encode_piece(framing, piece), SEND_TIMEOUT).await?;
             }
-            Ok(None) => break,
-            Err(error) => {
+            Some(Ok(None)) => break,
+            Some(Err(error)) => {
                 tracing::info!(event = "answer_cut_short", %error);
                 return Ok(Next::Abort);
             }
+            None => {
+                tracing::info!(event = "answer_cut_short", error = "the deadline has passed");
+                return Ok(Next::Abort);
+            }
         }
     }
     conn.write_within(body::encode_end(framing), SEND_TIMEOUT).await?;
--- a/crates/basilhaven/src/http1/conn.rs
+++ b/crates/basilhaven/src/http1/conn.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::os::fd::AsRawFd;
+use std::task::Poll;
 use std::{io, time::Duration};
 
 use bytes::{Buf as _, Bytes, BytesMut};
@@ -15,11 +16,18 @@
 /// Bytes that one read takes at most.
 const READ_LEN: usize = 16 * 1024;
 
+/// Interim responses that are passed over before a response; servers send one or two.
+const MAX_INTERIM: usize = 16;
+
+/// Reads after which other tasks get their turn: bytes that keep coming would leave them none, nor any timer.
+const READS_A_TURN: u32 = 16;
+
 /// A connection, from either side, and what was read from it but not yet used.
 #[derive(Debug)]
 pub struct Conn {
     stream: TcpStream,
     pub(super) buffer: BytesMut,
+    reads: u32,
 }
 
 impl Conn {
@@ -30,7 +38,7 @@
     /// The operating system refuses to switch off Nagle's algorithm.
     pub fn new(stream: TcpStream) -> io::Result<Conn> {
         stream.set_nodelay(true)?;
-        Ok(Conn { stream, buffer: BytesMut::new() })
+        Ok(Conn { stream, buffer: BytesMut::new(), reads: 0 })
     }
 
     /// Opens a connection within `limit`.
@@ -87,6 +95,10 @@
     ///
     /// When the returned future is dropped early, the connection is to be closed.
     pub(super) async fn fill(&mut self) -> io::Result<usize> {
+        self.reads = self.reads.wrapping_add(1);
+        if self.reads.is_multiple_of(READS_A_TURN) {
+            yield_now().await;
+        }
         self.buffer.reserve(READ_LEN);
         let tail = self.buffer.split_off(self.buffer.len());
         let (result, tail) = self.stream.read(tail).await;
@@ -250,12 +262,14 @@
     ///
     /// # Errors
     ///
-    /// The head is malformed or larger than `max_len` bytes, or the connection ended before its end.
+    /// The head is malformed or larger than `max_len` bytes, too many interim ones come, or the connection
+    /// ended before its end.
     pub async fn read_response(
         &mut self,
         method: &http::Method,
         max_len: usize,
     ) -> Result<head::Response, Error> {
+        let mut interim = 0;
         loop {
             while let Some(response) = head::decode_response(&mut self.buffer, method, max_len)? {
                 match response.parts.status {
@@ -263,7 +277,12 @@
                     http::StatusCode::SWITCHING_PROTOCOLS => {
                         return Err(Error::malformed("switch of protocols"));
                     }
-                    status if status.is_informational() => {}
+                    status if status.is_informational() => {
+                        interim += 1;
+                        if interim > MAX_INTERIM {
+                            return Err(Error::malformed("too many interim responses"));
+                        }
+                    }
                     _ => return Ok(response),
                 }
             }
@@ -278,3 +297,17 @@
         !self.buffer.is_empty()
     }
 }
+
+/// Lets other tasks run before this one goes on.
+async fn yield_now() {
+    let mut has_yielded = false;
+    std::future::poll_fn(|context| {
+        if has_yielded {
+            return Poll::Ready(());
+        }
+        has_yielded = true;
+        context.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
