Let restarted hosts wait for those that read the store, and bear a standstill

A host that has met others now leaves the store to those that rank first among these for 0.4 s; one that has met nobody beats every 20 ms and waits up to 180 ms longer, at random; a host that serves answers each beat of one that starts; those that do not watch the store read each part once.

A late beat now tells a standstill, and what was heard is taken to have been heard that much later.

--- a/crates/basilhaven-bench/src/standin/users/store.rs
+++ b/crates/basilhaven-bench/src/standin/users/store.rs
@@ -60,6 +60,7 @@
     revision: u64,
     history_since: u64,
     mode: Mode,
+    delay: Duration,
     calls: u64,
     whole_reads: Vec<String>,
 }
@@ -119,6 +120,7 @@
             revision: 1,
             history_since: 0,
             mode: Mode::Up,
+            delay: Duration::ZERO,
             calls: 0,
             whole_reads: Vec::new(),
         };
@@ -191,6 +193,11 @@
         self.state.1.notify_all();
     }
 
+    /// Changes how long each call takes from now on, besides what it waits for.
+    pub fn set_delay(&self, delay: Duration) {
+        self.lock().delay = delay;
+    }
+
     /// Forgets all changes so far, though not what they led to.
     pub fn drop_history(&self) {
         let mut state = self.lock();
@@ -211,11 +218,12 @@
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         while let Some(request) = read_request(&mut stream)? {
-            let mode = {
+            let (mode, delay) = {
                 let mut state = self.lock();
                 state.calls += 1;
-                state.mode
+                (state.mode, state.delay)
             };
+            std::thread::sleep(delay);
             match mode {
                 Mode::Up => {
                     let (status, body) = self.answer(&request);
--- a/crates/basilhaven-bench/tests/gateway/hosts.rs
+++ b/crates/basilhaven-bench/tests/gateway/hosts.rs
@@ -169,6 +169,47 @@
     });
 }
 
+#[test]
+fn hosts_that_are_all_restarted_leave_the_store_to_the_first_of_them() {
+    block_on(async {
+        let store = Store::start();
+        store.put("op", "config", &config(1, SERVICE));
+        // So long that all have started before one can serve.
+        store.set_delay(Duration::from_millis(300));
+        let net = Net::new(18, 12);
+        let started = Instant::now();
+        let mut hosts = Vec::new();
+        for number in 0..net.ips.len() {
+            hosts.push(net.start(&store, number).await);
+        }
+        wait_until("all are ready", || hosts.iter().all(Host::is_ready)).await;
+        let took = started.elapsed();
+        assert!(took < Duration::from_secs(3), "{took:?} until all were ready");
+        let reads = store.whole_reads();
+        let of_upstreams = reads.iter().filter(|table| *table == "servers").count();
+        // Those that rank first among the hosts that they have met, as these become more.
+        assert!(of_upstreams <= 4, "{reads:?}");
+    });
+}
+
+#[test]
+fn a_host_that_was_paused_does_not_take_itself_for_the_only_one() {
+    block_on(async {
+        let store = Store::start();
+        store.put("op", "config", &config(1, SERVICE));
+        let hosts = start_three(&store, 19).await;
+        hosts[0].process.signal(Signal::Stop);
+        // Longer than hosts count among those that may send (8 s).
+        monoio::time::sleep(Duration::from_secs(9)).await;
+        // With the others gone it has only what it held.
+        hosts[1..].iter().for_each(|host| host.process.signal(Signal::Kill));
+        hosts[0].process.signal(Signal::Continue);
+        wait_until("it notices", || hosts[0].process.lines_with("stood_still") == 1).await;
+        assert_eq!(hosts[0].live_hosts(), Some(3));
+        wait_until("they are dropped", || hosts[0].live_hosts() == Some(1)).await;
+    });
+}
+
 #[test]
 fn hosts_that_are_all_restarted_do_not_wait_for_each_other() {
     block_on(async {
--- a/crates/basilhaven/src/gateway/cluster.rs
+++ b/crates/basilhaven/src/gateway/cluster.rs
@@ -18,6 +18,11 @@
 const BEAT: Duration = Duration::from_millis(250);
 const BEAT_AMONG_MANY: Duration = Duration::from_millis(350);
 
+/// The time between two beats of a host that starts: until it has heard of another one, and until it has met one
+/// that serves.
+const BEAT_ALONE: Duration = Duration::from_millis(20);
+const BEAT_MEETING: Duration = Duration::from_millis(60);
+
 /// Hosts that a host sends its view to at each beat, among few hosts and among many.
 const FANOUT: usize = 3;
 const FANOUT_AMONG_MANY: usize = 2;
@@ -68,6 +73,9 @@
 /// How long after its start a host takes an equal share: it may not know all homes yet.
 const YOUNG_TIME: Duration = Duration::from_secs(2);
 
+/// How late a beat has to be for the process to have stood still: a busy host is late by less.
+const STANDSTILL: Duration = Duration::from_secs(1);
+
 /// How long after its start a host may take itself for alone.
 const LONELY_TIME: Duration = Duration::from_millis(1500);
 
@@ -496,6 +504,17 @@
         (pulses, targets)
     }
 
+    /// Notes that this process stood still for some time, in which it could hear of no host.
+    ///
+    /// Without this it would take all others for dead when it wakes, and itself for the only one that shares
+    /// what hosts may spend together.
+    pub fn note_standstill(&self, length: Duration) {
+        self.heard.borrow_mut().values_mut().for_each(|heard| heard.at += length);
+        let mut homes = self.homes.borrow_mut();
+        homes.recent.values_mut().for_each(|at| *at += length);
+        homes.drawn = None;
+    }
+
     /// Removes hosts that have been silent for so long that nothing depends on them.
     fn forget(&self, now: Instant) {
         let mut heard = self.heard.borrow_mut();
@@ -527,8 +546,19 @@
     loop {
         send_beat(&desk, &socket).await;
         desk.members.forget(Instant::now());
-        let pause = if desk.members.are_many() { BEAT_AMONG_MANY } else { BEAT };
+        let pause = match desk.members.are_many() {
+            _ if desk.is_new() && desk.members.live_count(Instant::now()) == 1 => BEAT_ALONE,
+            _ if desk.is_new() => BEAT_MEETING,
+            true => BEAT_AMONG_MANY,
+            false => BEAT,
+        };
+        let before = Instant::now();
         monoio::time::sleep(pause).await;
+        let late = before.elapsed().saturating_sub(pause);
+        if late >= STANDSTILL {
+            tracing::warn!(event = "stood_still", ms = late.as_millis() as u64);
+            desk.members.note_standstill(late);
+        }
     }
 }
 
@@ -590,9 +620,14 @@
                 for step in steps {
                     desk.moves.apply_step(step, now);
                 }
-                if desk.members.hear(from, &pulses, now) {
-                    let live = desk.members.live(now).len();
+                let is_news = desk.members.hear(from, &pulses, now);
+                if is_news {
+                    let live = desk.members.live_count(now);
                     tracing::info!(event = "host_met", %from, live);
+                }
+                // A host that starts looks for one that serves.
+                let starts = pulses.first().is_some_and(|own| own.state == State::Starting);
+                if is_news || starts && desk.members.state() == State::Ready {
                     reply(&desk, &socket, from).await;
                 }
             }
--- a/crates/basilhaven/src/gateway/news.rs
+++ b/crates/basilhaven/src/gateway/news.rs
@@ -38,7 +38,15 @@
 /// centres, and what a busy host takes to answer.
 const MEETING_TIME: Duration = Duration::from_millis(60);
 
-/// The same when the whole system starts and all hosts have to meet: until those that are to watch the store
+/// The most that a host waits longer that has met no other one, at random: where all have been restarted, the
+/// first ones read the store and the others meet these.
+const ALONE_SPREAD: Duration = Duration::from_millis(180);
+
+/// The same for one that has met others, none of which serves: all have been restarted, and those that are to
+/// watch the store read it first.
+const RESTART_TIME: Duration = Duration::from_millis(400);
+
+/// The same when the whole system starts for the first time and all hosts have to meet: until those that are to watch the store
 /// know each other, and until the others give up waiting for one of these.
 const FIRST_RANKING_TIME: Duration = Duration::from_millis(700);
 const FIRST_MEETING_TIME: Duration = Duration::from_secs(3);
@@ -115,6 +123,7 @@
     upstreams: journal::Journal,
     avoided: RefCell<IndexMap<Provider, Instant>>,
     is_first_start: bool,
+    patience: Duration,
 }
 
 impl Desk {
@@ -122,6 +131,7 @@
     pub fn new(members: Rc<cluster::Members>, is_first_start: bool) -> Desk {
         Desk {
             is_first_start,
+            patience: ALONE_SPREAD.mul_f64(fastrand::f64()),
             book: Rc::default(),
             registry: Rc::default(),
             moves: Rc::default(),
@@ -309,7 +319,7 @@
     }
 
     /// Whether this host has yet to learn a part of the store.
-    fn is_new(&self) -> bool {
+    pub(super) fn is_new(&self) -> bool {
         relay::SOURCES.iter().any(|&source| self.journal(source).revision() == 0)
     }
 
@@ -324,9 +334,12 @@
         if let Some(host) = self.host_among(&self.members.ready(now), now) {
             return Some(host);
         }
+        let is_alone = self.members.live_count(now) == 1;
         let wait = match (self.is_first_start, watchers.is_own) {
             (true, true) => FIRST_RANKING_TIME,
             (true, false) => FIRST_MEETING_TIME,
+            (false, false) if !is_alone => RESTART_TIME,
+            (false, _) if is_alone => MEETING_TIME + self.patience,
             (false, _) => MEETING_TIME,
         };
         if self.members.has_contacts() && self.members.age(now) < wait {
@@ -439,6 +452,10 @@
                     return Ok(());
                 }
                 monoio::time::sleep(pause).await;
+                // Those that do not watch read each part once.
+                while !desk.members.watchers(Instant::now()).is_own && desk.is_new() {
+                    monoio::time::sleep(MEETING_STEP).await;
+                }
                 continue;
             }
             Ok(changes) => {
--- a/crates/basilhaven/tests/gateway/homes.rs
+++ b/crates/basilhaven/tests/gateway/homes.rs
@@ -156,3 +156,23 @@
         .tests(60)
         .quickcheck(holds as fn(u8, Vec<(u8, u8)>) -> bool);
 }
+
+#[test]
+fn a_host_that_stood_still_wakes_with_the_share_that_it_had() {
+    let start = Instant::now();
+    let fleet = Fleet::new(13, 116, start);
+    let all: Vec<usize> = (0..13).collect();
+    let before = start + Duration::from_secs(4);
+    fleet.beat(&all, &all, before);
+    let shares: Vec<f64> = fleet.hosts.iter().map(|host| host.share(before)).collect();
+    let still = Duration::from_secs(10);
+    for (host, share) in fleet.hosts.iter().zip(shares) {
+        host.note_standstill(still);
+        let now = before + still + Duration::from_millis(10);
+        assert!(host.share(now) <= share + 1e-9, "{} of {share}", host.share(now));
+    }
+    // Who really died meanwhile is dropped as soon as at any other time.
+    let now = before + still + Duration::from_millis(1900);
+    fleet.beat(&all[..12], &all, now);
+    assert_eq!(fleet.hosts[0].live_count(now), 12);
+}
