--- a/crates/basilhaven/src/gateway/news.rs
+++ b/crates/basilhaven/src/gateway/news.rs
@@ -38,10 +38,6 @@
 /// centres, and what a busy host takes to answer.
 const MEETING_TIME: Duration = Duration::from_millis(60);
 
-/// The most that a host waits longer that has met no other one, at random: where all have been restarted, the
-/// first ones read the store and the others meet these.
-const ALONE_SPREAD: Duration = Duration::from_millis(180);
-
 /// The same for one that has met others, none of which serves: all have been restarted, and those that are to
 /// watch the store read it first.
 const RESTART_TIME: Duration = Duration::from_millis(400);
@@ -123,7 +119,6 @@
     upstreams: journal::Journal,
     avoided: RefCell<IndexMap<Provider, Instant>>,
     is_first_start: bool,
-    patience: Duration,
 }
 
 impl Desk {
@@ -131,7 +126,6 @@
     pub fn new(members: Rc<cluster::Members>, is_first_start: bool) -> Desk {
         Desk {
             is_first_start,
-            patience: ALONE_SPREAD.mul_f64(fastrand::f64()),
             book: Rc::default(),
             registry: Rc::default(),
             moves: Rc::default(),
@@ -339,7 +333,6 @@
             (true, true) => FIRST_RANKING_TIME,
             (true, false) => FIRST_MEETING_TIME,
             (false, false) if !is_alone => RESTART_TIME,
-            (false, _) if is_alone => MEETING_TIME + self.patience,
             (false, _) => MEETING_TIME,
         };
         if self.members.has_contacts() && self.members.age(now) < wait {
