--- /dev/null
+++ b/crates/basilhaven-bench/tests/gateway/hostile.rs
@@ -0,0 +1,195 @@
+//! Malformed rows and messages between hosts end no process, and the others hold.
+
+use std::io::Write as _;
+use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::time::{Duration, Instant};
+
+use basilhaven::gateway::cluster::{Frame, Members, Record, State};
+use basilhaven_bench::standin::block_on;
+
+use crate::world::{config, wait_until, World, PROMPT, SERVICE};
+
+/// Rows that take effect or not, each alone.
+fn odd_entries(entry: &str) -> Vec<String> {
+    let change = |field: &str, value: serde_json::Value| {
+        let mut changed: serde_json::Value = serde_json::from_str(entry).expect("an entry");
+        changed[field] = value;
+        changed.to_string()
+    };
+    vec![
+        change("ColdRemainingS", 1e19.into()),
+        change("ColdRemainingS", f64::MAX.into()),
+        change("ColdRemainingS", (-1).into()),
+        change("ColdRemainingS", "3".into()),
+        change("Slots", 0.into()),
+        change("Slots", u32::MAX.into()),
+        change("Slots", u64::MAX.into()),
+        change("Seq", u64::MAX.into()),
+        change("Seq", 1.5.into()),
+        change("born", u64::MAX.into()),
+        change("Address", "nowhere".into()),
+        change("Address", "[::1]:1".into()),
+        change("State", "gone".into()),
+        change("Service", "x".repeat(60_000).into()),
+        "[".repeat(60_000),
+        String::new(),
+        "{}".to_owned(),
+        entry[..entry.len() / 2].to_owned(),
+    ]
+}
+
+fn serves(world: &World, id: &str) {
+    let answer = world.host.call("GET", "/safe/1", id).expect("the host takes calls");
+    assert_eq!(answer.status, 200, "{id}");
+}
+
+#[test]
+fn no_row_of_another_writer_ends_a_process() {
+    block_on(async {
+        let world = World::start(&[PROMPT]).await;
+        let entry = world.upstreams[0].entry(SERVICE, "v1", "ready");
+        let rows = odd_entries(&entry);
+        for (number, row) in rows.iter().enumerate() {
+            world.store.put("servers", &format!("i-odd-{number}"), row);
+            world.store.put("hosts", &format!("127.0.0.1:{number}"), row);
+        }
+        wait_until("the rows are read", || {
+            world.host.process.lines_with("upstream_listed") >= 4
+                && world.host.process.lines_with("row_unreadable") >= rows.len() / 2
+        })
+        .await;
+        // Those that can be read may get calls, which fail at once: their address is the real one's.
+        for number in 0..rows.len() {
+            let path = if number % 2 == 0 { "/safe/1" } else { "/unsafe/1" };
+            let method = if number % 2 == 0 { "GET" } else { "POST" };
+            let answer = world.host.call(method, path, &format!("id-{number}"));
+            assert!(answer.is_ok(), "{answer:?} to call {number}");
+        }
+        for number in 0..rows.len() {
+            world.store.remove("servers", &format!("i-odd-{number}"));
+        }
+        wait_until("the others hold", || {
+            world.host.call("GET", "/safe/1", "after").is_ok_and(|answer| answer.status == 200)
+        })
+        .await;
+        assert_eq!(world.host.process.lines_with("started"), 1);
+    });
+}
+
+#[test]
+fn no_configuration_with_odd_figures_ends_a_process() {
+    block_on(async {
+        let world = World::start(&[PROMPT]).await;
+        for (version, (field, value)) in [
+            ("TimeoutS", "1e19"),
+            ("TimeoutS", "1e300"),
+            ("TargetLatencyS", "1e19"),
+            ("TargetLatencyS", "0"),
+            ("MaxAttempts", "0"),
+            ("ColdPerS", "-1"),
+            ("ColdPerS", "1e300"),
+            ("HeaderTimeoutS", "1e19"),
+            ("IdleTimeoutS", "1e19"),
+            ("MaxConns", "0"),
+        ]
+        .into_iter()
+        .enumerate()
+        {
+            let plain = config(version as u64 + 2, SERVICE);
+            let named = format!("\"{field}\":");
+            let mut parts = plain.split(&*named);
+            let mut odd = parts.next().unwrap_or_default().to_owned();
+            for part in parts {
+                let rest = part.find([',', '}']).map_or("", |at| &part[at..]);
+                odd.push_str(&format!("\"{field}\":{value}{rest}"));
+            }
+            world.store.put("op", "config", &odd);
+            monoio::time::sleep(Duration::from_millis(400)).await;
+            for (method, path) in [("GET", "/safe/1"), ("POST", "/unsafe/1")] {
+                let answer = world.host.call(method, path, &format!("{method}-{version}"));
+                assert!(answer.is_ok(), "{field} {value}: {answer:?}");
+            }
+        }
+        world.store.put("op", "config", &config(99, SERVICE));
+        wait_until("version 99 is applied", || {
+            world.host.process.lines().iter().any(|line| line["version"] == 99)
+        })
+        .await;
+        serves(&world, "after");
+    });
+}
+
+#[test]
+fn no_load_that_an_upstream_tells_ends_a_process() {
+    block_on(async {
+        let world = World::start(&[PROMPT, PROMPT]).await;
+        let loads =
+            ["4294967295,4294967295,4294967295,4294967295", "0,0,0,0", "-1,x,,", "0,0,4,100"];
+        for (number, load) in loads.into_iter().enumerate() {
+            world.upstreams[0].set_load(load);
+            for call in 0..20 {
+                serves(&world, &format!("id-{number}-{call}"));
+            }
+        }
+    });
+}
+
+fn mutate(random: &mut fastrand::Rng, bytes: &mut Vec<u8>) {
+    for _ in 0..random.usize(0..4) {
+        match random.u8(0..4) {
+            0 => bytes.truncate(random.usize(0..=bytes.len())),
+            1 => bytes.extend(std::iter::repeat_with(|| random.u8(..)).take(20)),
+            2 => bytes.extend_from_within(..),
+            _ => {
+                let at = random.usize(0..bytes.len().max(1));
+                if let Some(byte) = bytes.get_mut(at) {
+                    *byte = random.u8(..);
+                }
+            }
+        }
+    }
+    bytes.truncate(60_000);
+}
+
+#[test]
+fn no_message_of_another_host_ends_a_process() {
+    block_on(async {
+        let world = World::start(&[PROMPT]).await;
+        let lines = world.host.process.lines();
+        let started = lines.iter().find(|line| line["event"] == "started").expect("a first line");
+        let peer: SocketAddr = started["peer"].as_str().unwrap().parse().unwrap();
+        let record = Record {
+            peer: "127.0.0.77:7000".parse().unwrap(),
+            callers: "127.0.0.77:8000".parse().unwrap(),
+            data_centre: "a".into(),
+        };
+        let stranger = Members::new(&record, 1, Instant::now());
+        stranger.set_state(State::Starting);
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        let mut random = fastrand::Rng::with_seed(31);
+        for number in 0..4000 {
+            let (pulses, _) = stranger.beat(Instant::now());
+            let mut bytes = postcard::to_stdvec(&Frame::Pulses(pulses, Vec::new())).unwrap();
+            mutate(&mut random, &mut bytes);
+            let bytes = if number % 5 == 0 { vec![random.u8(..3); 300] } else { bytes };
+            socket.send_to(&bytes, peer).unwrap();
+            if number % 20 == 0 {
+                let mut stream = TcpStream::connect(peer).unwrap();
+                let len = [bytes.len() as u32, u32::MAX, 4 << 20, 0][random.usize(0..4)];
+                // The host may have closed the connection already.
+                let _ = stream.write_all(&len.to_le_bytes());
+                let _ = stream.write_all(&bytes);
+            }
+            if number % 500 == 0 {
+                serves(&world, &format!("during-{number}"));
+            }
+        }
+        serves(&world, "after");
+        assert!(world.host.is_ready());
+        let status = std::fs::read_to_string(format!("/proc/{}/status", world.host.process.id()));
+        let status = status.unwrap();
+        let most = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        let most: f64 = most.trim().trim_end_matches(" kB").parse().unwrap();
+        assert!(most < 64.0 * 1024.0, "{most} kB");
+    });
+}
--- a/crates/basilhaven-bench/tests/gateway/main.rs
+++ b/crates/basilhaven-bench/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! The gateway as real processes, between stand-ins of the users' store, upstreams and callers.
 
 mod answers;
+mod hostile;
 mod hosts;
 mod orders;
 mod world;
--- a/crates/basilhaven/src/gateway/choice.rs
+++ b/crates/basilhaven/src/gateway/choice.rs
@@ -36,7 +36,7 @@
     let report = upstream.report().filter(|r| now - r.at <= MAX_REPORT_AGE);
     let slowdown = report.map_or(UNKNOWN_SLOWDOWN, |r| f64::from(r.load.slowdown));
     let slots = f64::from(upstream.slots());
-    let after = f64::from(upstream.occupancy() + 1);
+    let after = f64::from(upstream.occupancy()) + 1.0;
     let excess = (after - slots).max(0.0);
     let crowded = if after > slots * CROWDED { CROWDED_COST } else { 1.0 };
     let busy = crowded * (1.0 + OCCUPANCY_COST * after / slots) + EXCESS_COST * excess / slots;
--- a/crates/basilhaven/src/gateway/cold.rs
+++ b/crates/basilhaven/src/gateway/cold.rs
@@ -6,6 +6,9 @@
 /// The part of what a cold upstream bears that hosts use together; hosts count each other with a lag.
 const USED_SHARE: f64 = 0.75;
 
+/// The longest that an upstream is taken to stay cold, whatever it or another host says.
+const MAX_LEFT: Duration = Duration::from_secs(24 * 3600);
+
 /// The warm-up of one upstream, and this host's share of what it bears meanwhile.
 ///
 /// # Examples
@@ -41,7 +44,7 @@
             self.until.set(None);
             self.next.set(None);
         } else {
-            self.until.set(Some(now + left));
+            self.until.set(Some(now + left.min(MAX_LEFT)));
         }
     }
 
--- a/crates/basilhaven/src/gateway/moves.rs
+++ b/crates/basilhaven/src/gateway/moves.rs
@@ -166,8 +166,8 @@
 
 impl Count {
     fn add(&mut self, other: &Count) {
-        self.answers += other.answers;
-        self.failed += other.failed;
+        self.answers = self.answers.saturating_add(other.answers);
+        self.failed = self.failed.saturating_add(other.failed);
         self.seconds += other.seconds;
     }
 
--- a/crates/basilhaven/src/gateway/upstream.rs
+++ b/crates/basilhaven/src/gateway/upstream.rs
@@ -240,8 +240,9 @@
 
     /// Calls that it works on, as far as this host can know.
     pub fn occupancy(&self) -> u32 {
-        let reported = self.report.get().map_or(0, |r| r.load.running + r.load.waiting);
-        self.in_flight.get().max(reported + self.sent_since_report.get())
+        let reported =
+            self.report.get().map_or(0, |r| r.load.running.saturating_add(r.load.waiting));
+        self.in_flight.get().max(reported.saturating_add(self.sent_since_report.get()))
     }
 
     /// Calls that it runs at once.
