--- a/crates/basilhaven-bench/tests/gateway/main.rs
+++ b/crates/basilhaven-bench/tests/gateway/main.rs
@@ -4,4 +4,5 @@
 mod hostile;
 mod hosts;
 mod orders;
+mod pipelined;
 mod world;
