--- a/crates/basilhaven/src/gateway/cluster.rs
+++ b/crates/basilhaven/src/gateway/cluster.rs
@@ -2,6 +2,9 @@
 //!
 //! Every host counts beats and passes on the highest count that it has heard of each other host. A
 //! host is live while its count rises.
+//!
+//! Out of the live hosts each host draws the same *homes*, those that the directory names to callers;
+//! they share most of what all hosts may spend together.
 
 use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -168,9 +171,10 @@
 /// The hosts that callers are sent to.
 #[derive(Debug, Default)]
 struct Homes {
+    /// When they were drawn; `None` when they have to be drawn anew.
     drawn: Option<Instant>,
     now: Vec<Pulse>,
-    /// When each host that was a home of late was one last.
+    /// When each host that was a home in the last [`EXPECTED_MEMORY`] was one last.
     recent: IndexMap<SocketAddr, Instant>,
 }
 
@@ -422,7 +426,7 @@
         }
     }
 
-    /// How many hosts callers are sent to.
+    /// How many homes there are now.
     pub fn home_count(&self, now: Instant) -> usize {
         self.draw_homes(now);
         self.homes.borrow().now.len()
--- a/crates/basilhaven/src/gateway/news.rs
+++ b/crates/basilhaven/src/gateway/news.rs
@@ -42,8 +42,8 @@
 /// watch the store read it first.
 const RESTART_TIME: Duration = Duration::from_millis(400);
 
-/// The same when the whole system starts for the first time and all hosts have to meet: until those that are to watch the store
-/// know each other, and until the others give up waiting for one of these.
+/// The same when the whole system starts for the first time and all hosts have to meet: until those that are to
+/// watch the store know each other, and until the others give up waiting for one of these.
 const FIRST_RANKING_TIME: Duration = Duration::from_millis(700);
 const FIRST_MEETING_TIME: Duration = Duration::from_secs(3);
 
