--- a/crates/basilhaven-bench/src/soak/world.rs
+++ b/crates/basilhaven-bench/src/soak/world.rs
@@ -264,7 +264,8 @@
         let Slot::Running(host, run) = &mut self.slots[number] else { return };
         let now = Instant::now();
         match signal {
-            Signal::Kill => run.killed = Some(now),
+            // A process that is killed twice ended by the first order.
+            Signal::Kill => run.killed = run.killed.or(Some(now)),
             Signal::Terminate => run.terminated = run.terminated.or(Some(now)),
             Signal::Stop | Signal::Continue | Signal::Reload => {}
         }
