--- a/crates/basilhaven/tests/gateway/belief.rs
+++ b/crates/basilhaven/tests/gateway/belief.rs
@@ -147,3 +147,16 @@
     registry.note_store(true, at(4000));
     assert!(registry.is_doubtful(&all[1], at(4000)), "now it can tell the store");
 }
+
+#[test]
+fn orders_of_a_read_that_lags_take_nothing_back() {
+    let (desk, now) = (desk(), Instant::now());
+    let evacuation = |ordered| Change::Evacuation { data_centre: "a".into(), ordered };
+    desk.take(Source::Upstreams, true, 1, vec![written(1, 1, false)], now);
+    desk.take(Source::Orders, true, 5, vec![evacuation(true)], now);
+    desk.take(Source::Orders, true, 4, Vec::new(), now);
+    desk.take(Source::Orders, false, 4, vec![evacuation(false)], now);
+    assert!(!is_open(&desk.registry, now), "taken back by an older read");
+    desk.take(Source::Orders, false, 6, vec![evacuation(false)], now);
+    assert!(is_open(&desk.registry, now));
+}
