Read a process's memory in one place; share the start of hosts and desks in tests

Peak memory was read from /proc in three tests and resident memory in three places; Process has both now. A test of indirect probes says so in its name. Assertions and bounds are as they were.

--- a/crates/basilhaven-bench/src/experiment/measuring.rs
+++ b/crates/basilhaven-bench/src/experiment/measuring.rs
@@ -40,9 +40,6 @@
 /// Calls a second over all hosts while there are calls.
 const RATE: f64 = 200.0;
 
-/// Ticks of processor time in a second, as the kernel counts them for processes.
-const TICKS_PER_SECOND: f64 = 100.0;
-
 /// Bytes of control that a host may send in a second.
 const MAX_BYTES_PER_SECOND: f64 = 6_000.0;
 
@@ -214,13 +211,9 @@
     let page = String::from_utf8_lossy(&page.body).into_owned();
     let line = page.lines().filter(|l| l.starts_with("basilhaven_control_bytes_total"));
     let values = line.filter_map(|l| l.rsplit(' ').next()?.parse::<f64>().ok());
-    let proc = format!("/proc/{}", daemon.process.id());
-    let stat = std::fs::read_to_string(format!("{proc}/stat")).expect("a running process");
-    // Fields count from the end of the name, which may hold spaces: state is the first.
-    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
-    let ticks: f64 = fields[11..13].iter().filter_map(|f| f.parse::<f64>().ok()).sum();
-    let status = std::fs::read_to_string(format!("{proc}/status")).expect("a running process");
-    let rss = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).expect("a memory line");
-    let kb: f64 = rss.trim().trim_end_matches("kB").trim().parse().expect("a number");
-    Spent { bytes: values.sum(), cpu_seconds: ticks / TICKS_PER_SECOND, rss_mb: kb / 1024.0 }
+    Spent {
+        bytes: values.sum(),
+        cpu_seconds: daemon.process.cpu_time().as_secs_f64(),
+        rss_mb: daemon.process.resident_bytes() as f64 / f64::from(1 << 20),
+    }
 }
--- a/crates/basilhaven-bench/src/experiment/membership.rs
+++ b/crates/basilhaven-bench/src/experiment/membership.rs
@@ -71,8 +71,8 @@
         most_bytes = most_bytes.max(mean);
     }
     report.target("bytes_per_second", MAX_BYTES_PER_SECOND, most_bytes <= MAX_BYTES_PER_SECOND);
-    let rss = daemons.iter().map(|d| rss_kib(d.process.id())).max().unwrap_or_default();
-    report.figure("most_rss_kib", rss);
+    let rss = daemons.iter().map(|d| d.process.resident_bytes()).max().unwrap_or_default();
+    report.figure("most_rss_kib", rss / 1024);
     measure_change(&daemons, &mut report, most_bytes).await;
     measure_faults(&mut daemons, &mut report, &mut random).await;
     report
@@ -148,13 +148,6 @@
     line.and_then(|value| value.trim().parse().ok()).unwrap_or_default()
 }
 
-/// The resident memory of a process.
-pub(crate) fn rss_kib(id: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or_default()
-}
-
 /// What heartbeats of the full mesh would take: two a second to every other host, each with the
 /// records of four hosts. Worked out from the length of a record.
 fn full_mesh(daemon: &Daemon, size: usize) -> usize {
--- a/crates/basilhaven-bench/src/process.rs
+++ b/crates/basilhaven-bench/src/process.rs
@@ -135,11 +135,25 @@
     ///
     /// It has ended.
     pub fn resident_bytes(&self) -> u64 {
+        self.memory("VmRSS:")
+    }
+
+    /// The most memory that the process has held, in bytes.
+    ///
+    /// # Panics
+    ///
+    /// It has ended.
+    pub fn peak_bytes(&self) -> u64 {
+        self.memory("VmHWM:")
+    }
+
+    /// A size of `/proc/PID/status`, in bytes.
+    fn memory(&self, field: &str) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.id()));
         let status = status.expect("a running process");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let line = status.lines().find_map(|line| line.strip_prefix(field));
         let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
-        kib.unwrap_or_default() * 1024
+        kib.expect("a size of a process that has not ended") * 1024
     }
 
     /// Sends a signal, by number.
--- a/crates/basilhaven-bench/src/standin/users/store.rs
+++ b/crates/basilhaven-bench/src/standin/users/store.rs
@@ -215,6 +215,11 @@
         self.lock().whole_reads.clone()
     }
 
+    /// How often a table was read whole.
+    pub fn whole_reads_of(&self, table: &str) -> usize {
+        self.lock().whole_reads.iter().filter(|read| *read == table).count()
+    }
+
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         while let Some(request) = read_request(&mut stream)? {
--- a/crates/basilhaven-bench/tests/gateway/answers.rs
+++ b/crates/basilhaven-bench/tests/gateway/answers.rs
@@ -230,13 +230,6 @@
     }
 }
 
-fn resident_mb(world: &World) -> f64 {
-    let status = format!("/proc/{}/status", world.host.process.id());
-    let status = std::fs::read_to_string(status).unwrap();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
-    line.trim().trim_end_matches(" kB").parse::<f64>().unwrap() / 1024.0
-}
-
 #[test]
 fn bytes_without_end_hold_a_call_no_longer_than_its_deadline_and_no_memory() {
     block_on(async {
@@ -268,7 +261,8 @@
             }
             // The host still serves at once, and pages too.
             assert!(world.host.is_ready());
-            assert!(resident_mb(&world) < 64.0, "{place:?}: {} MB", resident_mb(&world));
+            let most = world.host.process.peak_bytes();
+            assert!(most < 64 << 20, "{place:?}: {most} bytes");
         }
     });
 }
--- a/crates/basilhaven-bench/tests/gateway/hostile.rs
+++ b/crates/basilhaven-bench/tests/gateway/hostile.rs
@@ -186,10 +186,7 @@
         }
         serves(&world, "after");
         assert!(world.host.is_ready());
-        let status = std::fs::read_to_string(format!("/proc/{}/status", world.host.process.id()));
-        let status = status.unwrap();
-        let most = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
-        let most: f64 = most.trim().trim_end_matches(" kB").parse().unwrap();
-        assert!(most < 64.0 * 1024.0, "{most} kB");
+        let most = world.host.process.peak_bytes();
+        assert!(most < 64 << 20, "{most} bytes");
     });
 }
--- a/crates/basilhaven-bench/tests/gateway/hosts.rs
+++ b/crates/basilhaven-bench/tests/gateway/hosts.rs
@@ -31,6 +31,17 @@
     async fn start(&self, store: &Store, host: usize) -> Host {
         Host::start(store, self.ips[host], self.port, &self.seeds).await
     }
+
+    /// Starts all hosts, one right after the other, and waits until all are ready.
+    async fn start_all(&self, store: &Store, more: &[(&str, &str)]) -> Vec<Host> {
+        let mut hosts = Vec::new();
+        for ip in &self.ips {
+            let host = Host::start_with(store.address(), *ip, self.port, &self.seeds, more);
+            hosts.push(host.await);
+        }
+        wait_until("all are ready", || hosts.iter().all(Host::is_ready)).await;
+        hosts
+    }
 }
 
 async fn start_three(store: &Store, network: u8) -> Vec<Host> {
@@ -138,17 +149,9 @@
         let store = Store::start();
         store.put("op", "config", &config(1, SERVICE));
         let net = Net::new(15, 8);
-        let first = [("BASILHAVEN_FIRST_START", "true")];
-        let mut hosts = Vec::new();
-        for ip in &net.ips {
-            let host = Host::start_with(store.address(), *ip, net.port, &net.seeds, &first);
-            hosts.push(host.await);
-        }
-        wait_until("all are ready", || hosts.iter().all(Host::is_ready)).await;
-        let reads = store.whole_reads();
-        let of_upstreams = reads.iter().filter(|table| *table == "servers").count();
+        let _hosts = net.start_all(&store, &[("BASILHAVEN_FIRST_START", "true")]).await;
         // Two of them watch the store; one more may take itself for a watcher before it has met all.
-        assert!(of_upstreams <= 3, "{reads:?}");
+        assert!(store.whole_reads_of("servers") <= 3, "{:?}", store.whole_reads());
     });
 }
 
@@ -164,8 +167,7 @@
         store.put("op", "rollout/catalogo", order);
         let all_know = || hosts.iter().all(|host| host.process.lines_with("move_step") > 0);
         wait_until("all know the first step", all_know).await;
-        let reads = store.whole_reads();
-        assert_eq!(reads.iter().filter(|table| *table == "moves").count(), 1, "{reads:?}");
+        assert_eq!(store.whole_reads_of("moves"), 1, "{:?}", store.whole_reads());
     });
 }
 
@@ -178,17 +180,11 @@
         store.set_delay(Duration::from_millis(300));
         let net = Net::new(18, 12);
         let started = Instant::now();
-        let mut hosts = Vec::new();
-        for number in 0..net.ips.len() {
-            hosts.push(net.start(&store, number).await);
-        }
-        wait_until("all are ready", || hosts.iter().all(Host::is_ready)).await;
+        let _hosts = net.start_all(&store, &[]).await;
         let took = started.elapsed();
         assert!(took < Duration::from_secs(3), "{took:?} until all were ready");
-        let reads = store.whole_reads();
-        let of_upstreams = reads.iter().filter(|table| *table == "servers").count();
         // Those that rank first among the hosts that they have met, as these become more.
-        assert!(of_upstreams <= 4, "{reads:?}");
+        assert!(store.whole_reads_of("servers") <= 4, "{:?}", store.whole_reads());
     });
 }
 
--- a/crates/basilhaven-bench/tests/members.rs
+++ b/crates/basilhaven-bench/tests/members.rs
@@ -150,7 +150,7 @@
 }
 
 #[test]
-fn others_vouch_for_a_host_whose_direct_path_is_cut() {
+fn indirect_probes_keep_a_host_alive_whose_direct_path_is_cut() {
     block_on(async {
         let mut relays: Vec<Process> = Vec::new();
         let mut daemons = Vec::new();
--- a/crates/basilhaven-bench/tests/strangers.rs
+++ b/crates/basilhaven-bench/tests/strangers.rs
@@ -364,15 +364,6 @@
     });
 }
 
-/// The most memory that a process has held, in bytes.
-fn peak_bytes(daemon: &Daemon) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", daemon.process.id()));
-    let status = status.expect("a running process");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
-    kib.expect("a size") * 1024
-}
-
 #[test]
 fn bodies_that_nobody_takes_are_not_held_in_memory() {
     const CALLERS: usize = 16;
@@ -389,7 +380,7 @@
         let args = ["--upstream", &setting].map(str::to_owned);
         let daemon = Daemon::start("entry-1", "local", &args).await;
         let callers = daemon.callers;
-        let before = peak_bytes(&daemon);
+        let before = daemon.process.peak_bytes();
         let uploads: Vec<_> = (0..CALLERS)
             .map(|_| {
                 std::thread::spawn(move || {
@@ -405,7 +396,7 @@
         for upload in uploads {
             upload.join().expect("a caller that is answered or closed");
         }
-        let grown = peak_bytes(&daemon) - before;
+        let grown = daemon.process.peak_bytes() - before;
         assert!(grown < BODIES_LEN, "{grown} bytes for bodies");
     });
 }
--- a/crates/basilhaven/tests/gateway/belief.rs
+++ b/crates/basilhaven/tests/gateway/belief.rs
@@ -3,22 +3,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use basilhaven::gateway::cluster::{Members, Record};
-use basilhaven::gateway::news::Desk;
 use basilhaven::gateway::registry::Registry;
 use basilhaven::gateway::store::{Change, Source};
 use basilhaven::gateway::upstream::{Entry, Upstream};
 
-use crate::entry;
-
-fn desk() -> Desk {
-    let record = Record {
-        peer: "10.0.0.1:1".parse().expect("an address"),
-        callers: "10.0.0.1:2".parse().expect("an address"),
-        data_centre: "a".into(),
-    };
-    Desk::new(Rc::new(Members::new(&record, 1, Instant::now())), false)
-}
+use crate::{desk, entry};
 
 fn written(started_ms: u64, beat: u64, leaving: bool) -> Change {
     let entry = Entry { started_ms, beat, leaving, ..entry("catalogo", "v1", "a") };
@@ -87,23 +76,23 @@
     desk.take(Source::Upstreams, true, 1, vec![written(1, 6, true)], now);
     desk.take(Source::Upstreams, true, 9, vec![written(1, 5, false)], now);
     assert!(!is_open(&desk.registry, now));
-    let follower = self::desk();
+    let follower = crate::desk();
     follower.take(Source::Upstreams, true, 9, desk.whole(Source::Upstreams), now);
     follower.take(Source::Upstreams, false, 10, vec![written(1, 5, false)], now);
     assert!(!is_open(&follower.registry, now));
 }
 
-fn upstreams(registry: &Registry) -> Vec<Rc<Upstream>> {
+fn list_two(registry: &Registry, now: Instant) -> Vec<Rc<Upstream>> {
+    for id in ["u1", "u2"] {
+        registry.apply(id.into(), Some(entry("catalogo", "v1", "a")), now);
+    }
     registry.of_service("catalogo")
 }
 
 #[test]
 fn who_refuses_its_health_check_gets_nothing_while_another_can_take_the_call() {
     let (registry, start) = (Registry::default(), Instant::now());
-    for id in ["u1", "u2"] {
-        registry.apply(id.into(), Some(entry("catalogo", "v1", "a")), start);
-    }
-    let all = upstreams(&registry);
+    let all = list_two(&registry, start);
     let ids = |now| {
         let kept = registry.undoubted(all.iter().collect(), now);
         kept.iter().map(|upstream| upstream.id.to_string()).collect::<Vec<_>>()
@@ -124,10 +113,7 @@
 #[test]
 fn false_health_answers_of_all_upstreams_empty_no_service() {
     let (registry, now) = (Registry::default(), Instant::now());
-    for id in ["u1", "u2"] {
-        registry.apply(id.into(), Some(entry("catalogo", "v1", "a")), now);
-    }
-    let all = upstreams(&registry);
+    let all = list_two(&registry, now);
     all.iter().for_each(|upstream| upstream.note_health(now, false));
     assert_eq!(registry.undoubted(all.iter().collect(), now).len(), 2);
 }
@@ -136,9 +122,7 @@
 fn who_begins_to_leave_while_the_store_is_away_serves_until_it_can_say_so() {
     let (registry, start) = (Registry::default(), Instant::now());
     let at = |ms| start + Duration::from_millis(ms);
-    registry.apply("u1".into(), Some(entry("catalogo", "v1", "a")), start);
-    registry.apply("u2".into(), Some(entry("catalogo", "v1", "a")), start);
-    let all = upstreams(&registry);
+    let all = list_two(&registry, start);
     all[0].note_health(start, false);
     registry.note_store(false, at(500));
     all[1].note_health(at(2000), false);
--- a/crates/basilhaven/tests/gateway/main.rs
+++ b/crates/basilhaven/tests/gateway/main.rs
@@ -11,6 +11,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use basilhaven::gateway::cluster::{Members, Record};
+use basilhaven::gateway::news::Desk;
 use basilhaven::gateway::protocol;
 use basilhaven::gateway::upstream::{Entry, Upstream};
 
@@ -33,6 +35,16 @@
     Rc::new(Upstream::new(id.into(), entry("catalogo", version, data_centre), now))
 }
 
+/// What a host knows that has just started.
+fn desk() -> Desk {
+    let record = Record {
+        peer: "10.0.0.1:1".parse().expect("an address"),
+        callers: "10.0.0.1:2".parse().expect("an address"),
+        data_centre: "a".into(),
+    };
+    Desk::new(Rc::new(Members::new(&record, 1, Instant::now())), false)
+}
+
 fn load(running: u32, slowdown: f32) -> protocol::Load {
     protocol::Load { running, waiting: 0, slots: 4, slowdown }
 }
--- a/crates/basilhaven/tests/gateway/news.rs
+++ b/crates/basilhaven/tests/gateway/news.rs
@@ -4,22 +4,12 @@
 use std::time::{Duration, Instant};
 
 use basilhaven::finding;
-use basilhaven::gateway::cluster::{Members, Record};
 use basilhaven::gateway::news::Desk;
 use basilhaven::gateway::registry::Registry;
 use basilhaven::gateway::store::{Change, Source};
 use basilhaven::gateway::{journal, route, upstream};
 
-use crate::entry;
-
-fn desk() -> Desk {
-    let record = Record {
-        peer: "10.0.0.1:1".parse().expect("an address"),
-        callers: "10.0.0.1:2".parse().expect("an address"),
-        data_centre: "a".into(),
-    };
-    Desk::new(Rc::new(Members::new(&record, 1, Instant::now())), false)
-}
+use crate::{desk, entry};
 
 fn config(version: u64) -> Change {
     Change::Config(Rc::new(route::Table { version, ..route::Table::default() }))
