Split homes and the messages between hosts from the list of hosts

cluster.rs had three jobs on 649 lines: who is live, who callers are sent to and what hosts share, and datagrams. Homes are an aggregate of their own now (`cluster::homes`), datagrams a module (`cluster::datagram`). The order of hosts by their hash stood three times; it is `Pulse::rank`. Hosts are counted without being sorted, and a look for an upstream no longer copies the homes. Behaviour is as it was.

--- a/crates/basilhaven-bench/src/soak/mod.rs
+++ b/crates/basilhaven-bench/src/soak/mod.rs
@@ -7,7 +7,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use basilhaven::gateway::{cluster, directory};
+use basilhaven::gateway::cluster::homes;
+use basilhaven::gateway::directory;
 use bpaf::Bpaf;
 use indexmap::IndexMap;
 use serde::Serialize;
@@ -130,7 +131,7 @@
     while Instant::now() < until {
         world.supervise().await;
         let count = world.hosts().count();
-        let homes = count.min(cluster::homes_for(world.slots())).min(directory::MAX_NAMED);
+        let named_count = count.min(homes::needed(world.slots())).min(directory::MAX_NAMED);
         let named: BTreeSet<SocketAddr> = world
             .hosts()
             .next()
@@ -141,7 +142,7 @@
                 && host.live_hosts() == Some(count)
                 && host.resolve().into_iter().collect::<BTreeSet<_>>() == named
         };
-        if world.is_complete() && named.len() == homes && world.hosts().all(is_whole) {
+        if world.is_complete() && named.len() == named_count && world.hosts().all(is_whole) {
             return true;
         }
         monoio::time::sleep(STEP).await;
--- a/crates/basilhaven-bench/tests/gateway/hostile.rs
+++ b/crates/basilhaven-bench/tests/gateway/hostile.rs
@@ -4,7 +4,8 @@
 use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::time::{Duration, Instant};
 
-use basilhaven::gateway::cluster::{Frame, Members, Record, State};
+use basilhaven::gateway::cluster::datagram::Frame;
+use basilhaven::gateway::cluster::{Members, Record, State};
 use basilhaven_bench::standin::block_on;
 
 use crate::world::{config, wait_until, World, PROMPT, SERVICE};
--- a/crates/basilhaven/src/gateway/cluster.rs
+++ b/crates/basilhaven/src/gateway/cluster.rs
@@ -3,28 +3,19 @@
 //! Every host counts beats and passes on the highest count that it has heard of each other host. A
 //! host is live while its count rises.
 //!
-//! Out of the live hosts each host draws the same *homes*, those that the directory names to callers;
-//! they share most of what all hosts may spend together.
+//! Out of the live hosts each host draws the same [`homes`], those that the directory names to callers; the
+//! messages between hosts are sent and read in [`datagram`].
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, Ref, RefCell};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
-use monoio::net::udp::UdpSocket;
 use serde::{Deserialize, Serialize};
 
-use super::{moves, news};
-
-/// The time between two beats, among few hosts and among many.
-const BEAT: Duration = Duration::from_millis(250);
-const BEAT_AMONG_MANY: Duration = Duration::from_millis(350);
-
-/// The time between two beats of a host that starts: until it has heard of another one, and until it has met one
-/// that serves.
-const BEAT_ALONE: Duration = Duration::from_millis(20);
-const BEAT_MEETING: Duration = Duration::from_millis(60);
+pub mod datagram;
+pub mod homes;
 
 /// Hosts that a host sends its view to at each beat, among few hosts and among many.
 const FANOUT: usize = 3;
@@ -56,38 +47,12 @@
 /// How long a host that was live counts among those that may send to cold upstreams.
 const EXPECTED_MEMORY: Duration = Duration::from_secs(8);
 
-/// Slots of upstreams for each home, a host that callers are sent to: few hosts know more of each upstream,
-/// queue in one order and reuse what they open, and the loss of one is still the loss of a small part.
-const SLOTS_PER_HOME: usize = 32;
-
-/// The fewest homes, so that the loss of one leaves most.
-const MIN_HOMES: usize = 3;
-
-/// Homes of a data centre with which its callers need no others.
-const ENOUGH_NEAR: usize = 8;
-
-/// The part of what hosts share out that all get alike, since callers keep old answers of the directory;
-/// homes share the rest.
-const COMMON_SHARE: f64 = 0.2;
-
-/// How long the homes are not drawn anew while nothing is heard.
-const HOMES_AGE: Duration = Duration::from_millis(100);
-
-/// How long after its start a host takes an equal share: it may not know all homes yet.
-const YOUNG_TIME: Duration = Duration::from_secs(2);
-
-/// How late a beat has to be for the process to have stood still: a busy host is late by less.
-const STANDSTILL: Duration = Duration::from_secs(1);
-
 /// How long after its start a host may take itself for alone.
 const LONELY_TIME: Duration = Duration::from_millis(1500);
 
 /// The most hosts that one datagram tells of; it stays below 1,400 bytes.
 const MAX_PULSES: usize = 48;
 
-/// Bytes of a datagram.
-const MAX_DATAGRAM_LEN: usize = 4096;
-
 /// What a host tells the store of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -128,6 +93,11 @@
 }
 
 impl Pulse {
+    /// An order of hosts that is the same on all of them, and that of no list.
+    fn rank(&self) -> u64 {
+        rapidhash::v3::rapidhash_v3(&self.address)
+    }
+
     /// Where other hosts reach it.
     pub fn peer(&self) -> SocketAddr {
         SocketAddrV4::new(Ipv4Addr::from(self.address), self.peer_port).into()
@@ -139,15 +109,6 @@
     }
 }
 
-/// A message between hosts.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum Frame {
-    /// What the sender has heard of hosts, itself first, and of steps of moves.
-    Pulses(Vec<Pulse>, Vec<moves::Step>),
-    /// What the sender has seen of the versions of a move.
-    Evidence(moves::Evidence),
-}
-
 /// A host that was heard of.
 #[derive(Debug, Clone, Copy)]
 struct Heard {
@@ -165,17 +126,7 @@
     blind_since: Cell<Option<Instant>>,
     /// Slots of all upstreams.
     slots: Cell<usize>,
-    homes: RefCell<Homes>,
-}
-
-/// The hosts that callers are sent to.
-#[derive(Debug, Default)]
-struct Homes {
-    /// When they were drawn; `None` when they have to be drawn anew.
-    drawn: Option<Instant>,
-    now: Vec<Pulse>,
-    /// When each host that was a home in the last [`EXPECTED_MEMORY`] was one last.
-    recent: IndexMap<SocketAddr, Instant>,
+    homes: RefCell<homes::Homes>,
 }
 
 /// The hosts that watch the store.
@@ -191,20 +142,6 @@
     pub reserves: Vec<SocketAddr>,
 }
 
-/// How many hosts callers are sent to, where there are as many, when all upstreams together have `slots` slots.
-///
-/// # Examples
-///
-/// ```
-/// use basilhaven::gateway::cluster;
-///
-/// assert_eq!(cluster::homes_for(40), 3);
-/// assert_eq!(cluster::homes_for(3600), 113);
-/// ```
-pub fn homes_for(slots: usize) -> usize {
-    slots.div_ceil(SLOTS_PER_HOME).max(MIN_HOMES)
-}
-
 /// A short form of a name, the same on all hosts.
 fn digest(name: &str) -> u16 {
     rapidhash::v3::rapidhash_v3(name.as_bytes()) as u16
@@ -254,7 +191,7 @@
     /// Changes whether callers are sent to this host.
     pub fn set_state(&self, state: State) {
         self.own.set(Pulse { state, ..self.own.get() });
-        self.homes.borrow_mut().drawn = None;
+        self.homes.borrow_mut().invalidate();
     }
 
     /// Whether there are many hosts.
@@ -314,19 +251,26 @@
                 let same_state = known.is_some_and(|known| known.pulse.state == pulse.state);
                 news |= !is_known;
                 if !is_known || !same_state {
-                    self.homes.borrow_mut().drawn = None;
+                    self.homes.borrow_mut().invalidate();
                 }
             }
         }
         news
     }
 
+    fn live_among<'a>(
+        &self,
+        heard: &'a IndexMap<SocketAddr, Heard>,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Heard> {
+        let dead_after = self.dead_after();
+        heard.values().filter(move |h| now.saturating_duration_since(h.at) <= dead_after)
+    }
+
     /// The live hosts: this one, then those that were heard of last.
     fn live(&self, now: Instant) -> Vec<Pulse> {
-        let dead_after = self.dead_after();
         let heard = self.heard.borrow();
-        let is_live = |h: &&Heard| now.saturating_duration_since(h.at) <= dead_after;
-        let mut others: Vec<&Heard> = heard.values().filter(is_live).collect();
+        let mut others: Vec<&Heard> = self.live_among(&heard, now).collect();
         others.sort_by_key(|h| std::cmp::Reverse(h.at));
         std::iter::once(self.own.get()).chain(others.iter().map(|h| h.pulse)).collect()
     }
@@ -349,7 +293,7 @@
 
     /// How many hosts are live, this one among them.
     pub fn live_count(&self, now: Instant) -> usize {
-        self.live(now).len()
+        self.live_among(&self.heard.borrow(), now).count() + 1
     }
 
     /// How long this host has been running.
@@ -360,17 +304,10 @@
     /// The hosts that callers may be sent to, those of the caller's data centre first; `None` while this
     /// host may not know the others yet.
     pub fn serving(&self, near: &str, now: Instant) -> Option<Vec<SocketAddr>> {
-        let live = self.live(now);
-        if live.len() == 1 && now.saturating_duration_since(self.started) < LONELY_TIME {
+        if self.live_count(now) == 1 && self.age(now) < LONELY_TIME {
             return None;
         }
-        self.draw_homes(now);
-        let near = digest(near);
-        let homes = self.homes.borrow();
-        let (near, far): (Vec<&Pulse>, Vec<&Pulse>) =
-            homes.now.iter().partition(|pulse| pulse.data_centre == near);
-        let far = if near.len() < ENOUGH_NEAR { far } else { Vec::new() };
-        Some(near.into_iter().chain(far).map(Pulse::callers).collect())
+        Some(self.homes(now).near(digest(near)))
     }
 
     /// Notes how many slots all upstreams have together, which tells how many homes are needed.
@@ -378,32 +315,14 @@
         self.slots.set(slots);
     }
 
-    /// Draws the homes from the live hosts, all hosts alike: as many of each data centre, those first that can
-    /// carry most.
-    fn draw_homes(&self, now: Instant) {
-        let mut homes = self.homes.borrow_mut();
-        if homes.drawn.is_some_and(|at| now.saturating_duration_since(at) < HOMES_AGE) {
-            return;
+    /// The hosts that callers are sent to now, drawn anew where that is due.
+    fn homes(&self, now: Instant) -> Ref<'_, homes::Homes> {
+        if self.homes.borrow().is_due(now) {
+            let mut ready = self.live(now);
+            ready.retain(|pulse| pulse.state == State::Ready);
+            self.homes.borrow_mut().draw(ready, self.slots.get(), now);
         }
-        let mut ready = self.live(now);
-        ready.retain(|pulse| pulse.state == State::Ready);
-        // Not in the order of those that watch the store: one loss is not to meet both.
-        let place = |pulse: &Pulse| !rapidhash::v3::rapidhash_v3(&pulse.address);
-        ready.sort_by_key(|p| (u8::MAX - p.capacity, place(p), p.peer()));
-        let mut counts: IndexMap<u16, usize> = IndexMap::new();
-        let mut ranked: Vec<(usize, Pulse)> = Vec::with_capacity(ready.len());
-        for pulse in ready {
-            let count = counts.entry(pulse.data_centre).or_default();
-            ranked.push((*count, pulse));
-            *count += 1;
-        }
-        ranked.sort_by_key(|(number, pulse)| (*number, place(pulse)));
-        ranked.truncate(homes_for(self.slots.get()));
-        homes.drawn = Some(now);
-        homes.now = ranked.into_iter().map(|(_, pulse)| pulse).collect();
-        let peers: Vec<SocketAddr> = homes.now.iter().map(Pulse::peer).collect();
-        homes.recent.extend(peers.into_iter().map(|peer| (peer, now)));
-        homes.recent.retain(|_, at| now.saturating_duration_since(*at) <= EXPECTED_MEMORY);
+        self.homes.borrow()
     }
 
     /// This host's share of what all hosts may use together: homes get most, by how many hosts were homes of
@@ -411,25 +330,16 @@
     ///
     /// The shares of all hosts add up to one where these agree on who is live.
     pub fn share(&self, now: Instant) -> f64 {
-        let all = self.expected(now) as f64;
-        if self.age(now) < YOUNG_TIME {
-            return 1.0 / all;
-        }
-        self.draw_homes(now);
-        let homes = self.homes.borrow();
-        let own = self.own.get().peer();
-        let common = COMMON_SHARE / all;
-        // Callers keep coming for a while to one that was a home.
-        match homes.recent.contains_key(&own) {
-            true => common + (1.0 - COMMON_SHARE) / homes.recent.len() as f64,
-            false => common,
+        let all = self.expected(now);
+        match self.age(now) < homes::YOUNG_TIME {
+            true => 1.0 / all as f64,
+            false => self.homes(now).share(self.own.get().peer(), all),
         }
     }
 
     /// How many homes there are now.
     pub fn home_count(&self, now: Instant) -> usize {
-        self.draw_homes(now);
-        self.homes.borrow().now.len()
+        self.homes(now).now().len()
     }
 
     /// How many hosts may be sending calls, this one among them.
@@ -448,16 +358,12 @@
     /// This host's point on the ring of upstreams; those of the homes are evenly spread, and those of the
     /// other live hosts.
     pub fn point(&self, now: Instant) -> u64 {
-        let place = |pulse: &Pulse| (rapidhash::v3::rapidhash_v3(&pulse.address), pulse.peer());
         let own = self.own.get();
-        self.draw_homes(now);
-        let homes = self.homes.borrow();
-        let among = match homes.now.iter().any(|pulse| pulse.peer() == own.peer()) {
-            true => homes.now.clone(),
-            false => self.live(now),
-        };
-        let before = among.iter().filter(|other| place(other) < place(&own)).count() as u64;
-        before * (u64::MAX / among.len().max(1) as u64)
+        let homes = self.homes(now);
+        match homes.now().iter().any(|pulse| pulse.peer() == own.peer()) {
+            true => point_among(homes.now(), &own),
+            false => point_among(&self.live(now), &own),
+        }
     }
 
     /// The host that steers what only one host may: the first of those that watch the store. `None`
@@ -473,8 +379,7 @@
     fn ranked(&self, now: Instant) -> Vec<Pulse> {
         let mut live = self.live(now);
         live.retain(|pulse| pulse.state != State::Leaving);
-        let place = |pulse: &Pulse| rapidhash::v3::rapidhash_v3(&pulse.address);
-        live.sort_by_key(|p| (!p.sees_store, u8::MAX - p.capacity, place(p), p.peer()));
+        live.sort_by_key(|p| (!p.sees_store, u8::MAX - p.capacity, p.rank(), p.peer()));
         live
     }
 
@@ -514,9 +419,7 @@
     /// what hosts may spend together.
     pub fn note_standstill(&self, length: Duration) {
         self.heard.borrow_mut().values_mut().for_each(|heard| heard.at += length);
-        let mut homes = self.homes.borrow_mut();
-        homes.recent.values_mut().for_each(|at| *at += length);
-        homes.drawn = None;
+        self.homes.borrow_mut().note_standstill(length);
     }
 
     /// Removes hosts that have been silent for so long that nothing depends on them.
@@ -526,6 +429,13 @@
     }
 }
 
+/// The point of a host on a ring on which some hosts, this one among them, are evenly spread.
+fn point_among(hosts: &[Pulse], own: &Pulse) -> u64 {
+    let place = |pulse: &Pulse| (pulse.rank(), pulse.peer());
+    let before = hosts.iter().filter(|other| place(other) < place(own)).count() as u64;
+    before * (u64::MAX / hosts.len().max(1) as u64)
+}
+
 /// The hosts that a host among many sends its view to: more often of its own data centre than drawn from all
 /// alike, since datagrams between data centres are dear.
 fn near_targets(own: &Pulse, others: &[Pulse]) -> Vec<SocketAddr> {
@@ -544,106 +454,3 @@
     fastrand::shuffle(&mut hosts);
     hosts.into_iter().take(count).map(Pulse::peer).collect()
 }
-
-/// Sends this host's view at each beat.
-pub async fn spread(desk: Rc<news::Desk>, socket: Rc<UdpSocket>) {
-    loop {
-        send_beat(&desk, &socket).await;
-        desk.members.forget(Instant::now());
-        let pause = match desk.members.are_many() {
-            _ if desk.is_new() && desk.members.live_count(Instant::now()) == 1 => BEAT_ALONE,
-            _ if desk.is_new() => BEAT_MEETING,
-            true => BEAT_AMONG_MANY,
-            false => BEAT,
-        };
-        let before = Instant::now();
-        monoio::time::sleep(pause).await;
-        let late = before.elapsed().saturating_sub(pause);
-        if late >= STANDSTILL {
-            tracing::warn!(event = "stood_still", ms = late.as_millis() as u64);
-            desk.members.note_standstill(late);
-        }
-    }
-}
-
-/// Sends this host's view to some hosts now.
-pub async fn send_beat(desk: &news::Desk, socket: &UdpSocket) {
-    let (pulses, targets) = desk.members.beat(Instant::now());
-    let frame = Frame::Pulses(pulses, desk.moves.steps(Instant::now()));
-    for target in targets {
-        send_frame(socket, &frame, target).await;
-    }
-}
-
-/// Sends this host's view to all live hosts now.
-pub async fn send_to_all(desk: &news::Desk, socket: &UdpSocket) {
-    let now = Instant::now();
-    let (pulses, _) = desk.members.beat(now);
-    let frame = Frame::Pulses(pulses, desk.moves.steps(Instant::now()));
-    for target in desk.members.others(now) {
-        send_frame(socket, &frame, target).await;
-    }
-}
-
-/// Sends a frame to a host.
-pub async fn send_frame(socket: &UdpSocket, frame: &Frame, target: SocketAddr) {
-    let bytes = match postcard::to_stdvec(frame) {
-        Ok(bytes) if bytes.len() <= MAX_DATAGRAM_LEN => bytes,
-        Ok(bytes) => {
-            tracing::warn!(event = "frame_too_long", len = bytes.len());
-            return;
-        }
-        Err(error) => {
-            tracing::warn!(event = "frame_not_encoded", %error);
-            return;
-        }
-    };
-    let (result, _) = socket.send_to(bytes, target).await;
-    if let Err(error) = result {
-        tracing::debug!(event = "datagram_not_sent", %target, %error);
-    }
-}
-
-/// Takes in what other hosts send.
-pub async fn receive(desk: Rc<news::Desk>, socket: Rc<UdpSocket>) {
-    let mut buffer = vec![0; MAX_DATAGRAM_LEN];
-    loop {
-        let (result, filled) = socket.recv_from(buffer).await;
-        buffer = filled;
-        let (len, from) = match result {
-            Ok(received) => received,
-            Err(error) => {
-                tracing::warn!(event = "datagram_not_received", %error);
-                monoio::time::sleep(BEAT).await;
-                continue;
-            }
-        };
-        match postcard::from_bytes::<Frame>(&buffer[..len]) {
-            Ok(Frame::Pulses(pulses, steps)) => {
-                let now = Instant::now();
-                for step in steps {
-                    desk.moves.apply_step(step, now);
-                }
-                let is_news = desk.members.hear(from, &pulses, now);
-                if is_news {
-                    let live = desk.members.live_count(now);
-                    tracing::info!(event = "host_met", %from, live);
-                }
-                // A host that starts looks for one that serves.
-                let starts = pulses.first().is_some_and(|own| own.state == State::Starting);
-                if is_news || starts && desk.members.state() == State::Ready {
-                    reply(&desk, &socket, from).await;
-                }
-            }
-            Ok(Frame::Evidence(evidence)) => desk.moves.hear(from, evidence),
-            Err(error) => tracing::debug!(event = "datagram_unreadable", %from, %error),
-        }
-    }
-}
-
-/// Tells a host that brought news what this one knows, so that it need not wait for a beat.
-async fn reply(desk: &news::Desk, socket: &UdpSocket, target: SocketAddr) {
-    let mut pulses = desk.members.live(Instant::now());
-    pulses.truncate(MAX_PULSES);
-    send_frame(socket, &Frame::Pulses(pulses, desk.moves.steps(Instant::now())), target).await;
-}
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -12,6 +12,7 @@
 use monoio::net::udp::UdpSocket;
 use monoio::net::{TcpListener, UnixStream};
 
+use super::cluster::datagram;
 use super::{
     cluster, directory, front, news, place, probe, protocol, registry, relay, retries, settings,
     steer, store,
@@ -135,8 +136,8 @@
     desk.registry.set_heartbeat(settings.heartbeat);
     let front = front(&settings, store.protocol(), &desk);
     let peer = Rc::new(sockets.peer);
-    monoio::spawn(cluster::receive(Rc::clone(&desk), Rc::clone(&peer)));
-    monoio::spawn(cluster::spread(Rc::clone(&desk), Rc::clone(&peer)));
+    monoio::spawn(datagram::receive(Rc::clone(&desk), Rc::clone(&peer)));
+    monoio::spawn(datagram::spread(Rc::clone(&desk), Rc::clone(&peer)));
     monoio::spawn(news::keep(Rc::clone(&store), Rc::clone(&desk)));
     monoio::spawn(relay::serve(Rc::clone(&desk), sockets.relay));
     monoio::spawn(register(Rc::clone(&store), record, Rc::clone(&desk)));
@@ -277,8 +278,8 @@
         desk.members.set_state(cluster::State::Ready);
         match desk.members.watchers(Instant::now()).is_own {
             // Hosts that start wait for one that serves.
-            true => cluster::send_to_all(&desk, &peer).await,
-            false => cluster::send_beat(&desk, &peer).await,
+            true => datagram::send_to_all(&desk, &peer).await,
+            false => datagram::send_beat(&desk, &peer).await,
         }
         tracing::info!(event = "ready", upstreams = desk.registry.len());
     }
@@ -320,7 +321,7 @@
     front.ends_at.set(Some(end));
     front.members.set_state(cluster::State::Leaving);
     tracing::info!(event = "leaving", host = &*settings.name, connections = front.open.get());
-    cluster::send_to_all(desk, peer).await;
+    datagram::send_to_all(desk, peer).await;
     monoio::time::sleep(settings.grace.mul_f64(SERVE_SHARE)).await;
     front.closing.notify();
     while (front.busy.get() > 0 || front.open.get() > 0) && Instant::now() < end {
--- a/crates/basilhaven/src/gateway/steer.rs
+++ b/crates/basilhaven/src/gateway/steer.rs
@@ -5,7 +5,8 @@
 
 use monoio::net::udp::UdpSocket;
 
-use super::{cluster, moves, news, store};
+use super::cluster::datagram;
+use super::{moves, news, store};
 
 /// The pause between two looks at the moves.
 const PAUSE: Duration = Duration::from_millis(150);
@@ -41,7 +42,7 @@
             continue;
         };
         for evidence in desk.moves.own_evidence() {
-            cluster::send_frame(&socket, &cluster::Frame::Evidence(evidence), leader).await;
+            datagram::send(&socket, &datagram::Frame::Evidence(evidence), leader).await;
         }
     }
 }
@@ -76,7 +77,7 @@
                 if !step.braked {
                     let braked = moves::Step { braked: true, ..step.clone() };
                     desk.moves.apply_step(braked, Instant::now());
-                    cluster::send_to_all(desk, socket).await;
+                    datagram::send_to_all(desk, socket).await;
                 }
                 let stage = moves::Stage::RolledBack;
                 write(store, desk, socket, moves::Step { stage, ..step }).await;
@@ -106,7 +107,7 @@
     match store.write_step(&step, expected).await {
         Ok(revision) => {
             desk.moves.apply_step(moves::Step { revision, braked: false, ..step }, Instant::now());
-            cluster::send_to_all(desk, socket).await;
+            datagram::send_to_all(desk, socket).await;
         }
         Err(error) => {
             tracing::warn!(event = "step_not_written", service = &*step.service, %error);
--- a/crates/basilhaven/tests/gateway/cluster.rs
+++ b/crates/basilhaven/tests/gateway/cluster.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use basilhaven::gateway::cluster::{Frame, Members, Pulse, Record, State};
+use basilhaven::gateway::cluster::datagram::Frame;
+use basilhaven::gateway::cluster::{Members, Pulse, Record, State};
 
 fn address(host: u8, port: u16) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, host], port))
