Split the evidence on versions, and the verdict on it, from the steps of moves

moves.rs held orders, stages and steps, and what is seen of two versions; the latter is moves::evidence now, which adds up its own pairs. Behaviour is as it was.

--- a/crates/basilhaven/src/gateway/cluster/datagram.rs
+++ b/crates/basilhaven/src/gateway/cluster/datagram.rs
@@ -30,7 +30,7 @@
     /// What the sender has heard of hosts, itself first, and of steps of moves.
     Pulses(Vec<cluster::Pulse>, Vec<moves::Step>),
     /// What the sender has seen of the versions of a move.
-    Evidence(moves::Evidence),
+    Evidence(moves::evidence::Evidence),
 }
 
 /// Sends this host's view at each beat.
--- a/crates/basilhaven/src/gateway/front.rs
+++ b/crates/basilhaven/src/gateway/front.rs
@@ -432,7 +432,7 @@
     if !failed && lease.upstream.warmup.is_cold(Instant::now()) {
         return;
     }
-    let count = moves::Count::of_one(failed, lease.cost, took);
+    let count = moves::evidence::Count::of_one(failed, lease.cost, took);
     let version = Rc::clone(&lease.upstream.entry().version);
     front.placer.moves.note(service, &route.name, &version, count);
 }
--- a/crates/basilhaven/src/gateway/moves.rs
+++ b/crates/basilhaven/src/gateway/moves.rs
@@ -15,6 +15,8 @@
 
 use super::upstream;
 
+pub mod evidence;
+
 /// An order to move a service's calls to another version.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Order {
@@ -69,25 +71,6 @@
 /// old one still runs end within it.
 const FULL_TIME: Duration = Duration::from_millis(1300);
 
-/// Answers of a version on one route from which it can be judged by its failures.
-const LEAST_FAILURES: u32 = 4;
-
-/// By how much failures have to exceed what the old version's share of failures leads to expect.
-const FAILED_RATIO: f64 = 3.0;
-const FAILED_EXCESS: f64 = 3.0;
-
-/// Answers, and the share of failed ones, that are assumed of the old version before any was seen. They
-/// weigh little: routes on which every call fails, whatever the version, get few calls.
-const PRIOR_ANSWERS: f64 = 10.0;
-const PRIOR_SHARE: f64 = 0.03;
-
-/// Answers from which a version can be judged by its times, and the ratio of means that is too high.
-const LEAST_TIMED: u32 = 6;
-const SLOW_RATIO: f64 = 2.5;
-
-/// Means below this are taken for equal, in seconds: round trips and probes weigh more.
-const LEAST_SECONDS: f64 = 0.03;
-
 /// Answers of the new version without which a move does not go past its trial.
 const LEAST_TRIED: u32 = 8;
 
@@ -153,159 +136,6 @@
     }
 }
 
-/// What was seen of one version on one route.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-pub struct Count {
-    /// Answers, failed ones among them.
-    pub answers: u32,
-    /// Failed answers, and calls without an answer.
-    pub failed: u32,
-    /// Seconds that the answers took together, each divided by the cost of its upstream.
-    pub seconds: f32,
-}
-
-impl Count {
-    /// One answer that took some time at an upstream of some cost.
-    ///
-    /// What the cost foretells says nothing of the version: upstreams of a new one are idle, those of the old
-    /// one full, and would hide that the new one is slow.
-    pub fn of_one(failed: bool, cost: f64, took: Duration) -> Count {
-        let seconds = (took.as_secs_f64() / cost.max(1.0)) as f32;
-        Count { answers: 1, failed: u32::from(failed), seconds }
-    }
-
-    fn add(&mut self, other: &Count) {
-        self.answers = self.answers.saturating_add(other.answers);
-        self.failed = self.failed.saturating_add(other.failed);
-        self.seconds += other.seconds;
-    }
-
-    fn failed_share(&self) -> f64 {
-        f64::from(self.failed) / f64::from(self.answers.max(1))
-    }
-
-    fn mean(&self) -> f64 {
-        f64::from(self.seconds) / f64::from(self.answers.max(1))
-    }
-}
-
-/// What was seen of both versions on one route.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Pair {
-    /// The new version.
-    pub new: Count,
-    /// The old version.
-    pub old: Count,
-    /// The old version's last answers: faults that strike both versions may have begun after most of
-    /// [`old`](Pair::old).
-    pub old_of_late: Late,
-}
-
-/// Answers of late; each new one takes an eighth of the weight of those before it.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-pub struct Late {
-    /// The weight of all answers.
-    pub answers: f32,
-    /// The weight of those that failed.
-    pub failed: f32,
-}
-
-/// What is left of the weight of answers at each new one.
-const LATE_DECAY: f32 = 7.0 / 8.0;
-
-impl Late {
-    fn add(&mut self, count: &Count) {
-        self.answers = self.answers * LATE_DECAY + count.answers as f32;
-        self.failed = self.failed * LATE_DECAY + count.failed as f32;
-    }
-}
-
-impl Pair {
-    /// The share of failures that the old version leads to expect.
-    fn expected_share(&self) -> f64 {
-        let share = |answers: f64, failed: f64, prior: f64| {
-            (failed + prior * PRIOR_ANSWERS) / (answers + PRIOR_ANSWERS)
-        };
-        let long = share(self.old.answers.into(), self.old.failed.into(), PRIOR_SHARE);
-        let late = self.old_of_late;
-        long.max(share(late.answers.into(), late.failed.into(), long))
-    }
-}
-
-/// What one host has seen during a move.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Evidence {
-    /// The service.
-    pub service: Rc<str>,
-    /// The revision of the order.
-    pub order: u64,
-    /// What was seen on each route.
-    pub routes: IndexMap<Rc<str>, Pair>,
-}
-
-/// Why a version is taken for bad.
-#[derive(Debug, Clone, PartialEq, derive_more::Display)]
-#[display("{fault} on {route}: {new:.3} against {old:.3}")]
-pub struct Verdict {
-    /// What is wrong with it.
-    pub fault: Fault,
-    /// The route on which it shows.
-    pub route: Rc<str>,
-    /// The figure of the new version.
-    pub new: f64,
-    /// That of the old version.
-    pub old: f64,
-}
-
-/// What may be wrong with a version.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
-pub enum Fault {
-    /// Its answers fail.
-    #[display("failures")]
-    Failures,
-    /// Its answers take too long.
-    #[display("slow answers")]
-    Slow,
-}
-
-/// Whether a version is bad by what all hosts have seen together.
-///
-/// # Examples
-///
-/// ```
-/// use basilhaven::gateway::moves;
-///
-/// let good = moves::Count { answers: 200, failed: 2, seconds: 20.0 };
-/// let bad = moves::Count { answers: 12, failed: 6, seconds: 1.2 };
-/// let late = moves::Late::default();
-/// let seen = [("prices".into(), moves::Pair { new: bad, old: good, old_of_late: late })];
-/// assert!(moves::judge(seen.iter().map(|(r, p)| (r, p))).is_some());
-/// let seen = [("prices".into(), moves::Pair { new: good, old: good, old_of_late: late })];
-/// assert!(moves::judge(seen.iter().map(|(r, p)| (r, p))).is_none());
-/// ```
-pub fn judge<'a, I>(routes: I) -> Option<Verdict>
-where
-    I: Iterator<Item = (&'a Rc<str>, &'a Pair)>,
-{
-    routes.filter_map(|(route, pair)| judge_route(route, pair)).next()
-}
-
-fn judge_route(route: &Rc<str>, pair: &Pair) -> Option<Verdict> {
-    let (new, old) = (pair.new.failed_share(), pair.old.failed_share());
-    let verdict = |fault, new, old| Some(Verdict { fault, route: Rc::clone(route), new, old });
-    let expected = pair.expected_share() * f64::from(pair.new.answers);
-    let failed = f64::from(pair.new.failed);
-    if pair.new.failed >= LEAST_FAILURES && failed > FAILED_RATIO * expected + FAILED_EXCESS {
-        return verdict(Fault::Failures, new, old);
-    }
-    let (new, old) = (pair.new.mean(), pair.old.mean());
-    let timed = pair.new.answers.min(pair.old.answers) >= LEAST_TIMED;
-    if timed && new > SLOW_RATIO * old.max(LEAST_SECONDS) {
-        return verdict(Fault::Slow, new, old);
-    }
-    None
-}
-
 /// What to do next with a move.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Decision {
@@ -314,7 +144,7 @@
     /// Go to this stage.
     Go(Stage),
     /// Take the move back.
-    Back(Verdict),
+    Back(evidence::Verdict),
 }
 
 /// Decides on the next step of a move.
@@ -323,12 +153,12 @@
     stage: Stage,
     since_order: Duration,
     since_step: Duration,
-    routes: &IndexMap<Rc<str>, Pair>,
+    routes: &IndexMap<Rc<str>, evidence::Pair>,
 ) -> Decision {
     if stage.is_final() {
         return Decision::Wait;
     }
-    if let Some(verdict) = judge(routes.iter()) {
+    if let Some(verdict) = evidence::judge(routes.iter()) {
         return Decision::Back(verdict);
     }
     let tried: u32 = routes.values().map(|pair| pair.new.answers).sum();
@@ -369,8 +199,8 @@
     exposure: Cell<f64>,
     orders: RefCell<IndexMap<Rc<str>, Known>>,
     steps: RefCell<IndexMap<Rc<str>, (Step, Instant)>>,
-    own: RefCell<IndexMap<Rc<str>, Evidence>>,
-    heard: RefCell<IndexMap<(Rc<str>, SocketAddr), Evidence>>,
+    own: RefCell<IndexMap<Rc<str>, evidence::Evidence>>,
+    heard: RefCell<IndexMap<(Rc<str>, SocketAddr), evidence::Evidence>>,
     /// Whether the steps in the store have been read.
     pub steps_known: Cell<bool>,
 }
@@ -516,35 +346,29 @@
     }
 
     /// Takes in how a call ended that was sent to a version of a service.
-    pub fn note(&self, service: &Rc<str>, route: &Rc<str>, version: &str, count: Count) {
+    pub fn note(&self, service: &Rc<str>, route: &Rc<str>, version: &str, count: evidence::Count) {
         let orders = self.orders.borrow();
         let Some(known) = orders.get(service) else { return };
         if self.step_of(service, &known.order).is_none_or(|(step, _)| step.stage.is_final()) {
             return;
         }
         let mut own = self.own.borrow_mut();
-        let evidence = own.entry(Rc::clone(service)).or_insert_with(|| Evidence {
+        let evidence = own.entry(Rc::clone(service)).or_insert_with(|| evidence::Evidence {
             service: Rc::clone(service),
             order: known.order.revision,
             routes: IndexMap::new(),
         });
         let pair = evidence.routes.entry(Rc::clone(route)).or_default();
-        match *known.order.to == *version {
-            true => pair.new.add(&count),
-            false => {
-                pair.old.add(&count);
-                pair.old_of_late.add(&count);
-            }
-        }
+        pair.note(*known.order.to == *version, &count);
     }
 
     /// What this host has seen of moves that are under way.
-    pub fn own_evidence(&self) -> Vec<Evidence> {
+    pub fn own_evidence(&self) -> Vec<evidence::Evidence> {
         self.own.borrow().values().cloned().collect()
     }
 
     /// Takes in what another host has seen.
-    pub fn hear(&self, from: SocketAddr, evidence: Evidence) {
+    pub fn hear(&self, from: SocketAddr, evidence: evidence::Evidence) {
         let orders = self.orders.borrow();
         let known = orders.get(&evidence.service);
         if known.is_some_and(|known| known.order.revision == evidence.order) {
@@ -553,18 +377,14 @@
     }
 
     /// What all hosts have seen together.
-    pub fn evidence(&self, service: &str) -> IndexMap<Rc<str>, Pair> {
+    pub fn evidence(&self, service: &str) -> IndexMap<Rc<str>, evidence::Pair> {
         let own = self.own.borrow();
         let heard = self.heard.borrow();
         let others = heard.iter().filter(|((of, _), _)| &**of == service).map(|(_, e)| e);
-        let mut all: IndexMap<Rc<str>, Pair> = IndexMap::new();
+        let mut all: IndexMap<Rc<str>, evidence::Pair> = IndexMap::new();
         for evidence in own.get(service).into_iter().chain(others) {
             for (route, pair) in &evidence.routes {
-                let sum = all.entry(Rc::clone(route)).or_default();
-                sum.new.add(&pair.new);
-                sum.old.add(&pair.old);
-                sum.old_of_late.answers += pair.old_of_late.answers;
-                sum.old_of_late.failed += pair.old_of_late.failed;
+                all.entry(Rc::clone(route)).or_default().merge(pair);
             }
         }
         all
--- a/crates/basilhaven/tests/gateway/moves.rs
+++ b/crates/basilhaven/tests/gateway/moves.rs
@@ -3,9 +3,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use basilhaven::gateway::moves::{
-    decide, judge, Count, Decision, Fault, Late, Moves, Order, Pair, Stage, Step,
-};
+use basilhaven::gateway::moves::evidence::{judge, Count, Fault, Late, Pair};
+use basilhaven::gateway::moves::{decide, Decision, Moves, Order, Stage, Step};
 use basilhaven::gateway::upstream::Upstream;
 use indexmap::IndexMap;
 
