--- a/crates/basilhaven/src/gateway/attempt.rs
+++ b/crates/basilhaven/src/gateway/attempt.rs
@@ -43,6 +43,13 @@
     pub until: Instant,
 }
 
+impl Call {
+    /// The id that the caller gave it, for log lines.
+    pub fn id_text(&self) -> &str {
+        self.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default()
+    }
+}
+
 /// Why a send brought no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 pub enum Cause {
--- a/crates/basilhaven/src/gateway/front.rs
+++ b/crates/basilhaven/src/gateway/front.rs
@@ -9,10 +9,12 @@
 use http::header::{self, HeaderMap, HeaderValue};
 use monoio::net::{TcpListener, TcpStream};
 
-use super::{attempt, cluster, moves, news, place, protocol, retries, route, signal};
+use super::{attempt, cluster, news, place, protocol, retries, route, signal};
 use crate::http1::{self, body, head};
 use crate::profile;
 
+mod sends;
+
 /// Pause after a failed accept, such as one for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -29,18 +31,6 @@
 /// on its way.
 const STOP_GRACE: Duration = Duration::from_millis(300);
 
-/// When a refused caller may come back: where no upstream had room, and where upstreams shed the call,
-/// each by itself, so that the next one may well take it.
-const RETRY_AFTER: Duration = Duration::from_millis(100);
-const RETRY_AFTER_SHED: Duration = Duration::from_millis(5);
-
-/// A part of the route's target below which no call can be expected to be served.
-const LEAST_TIME_SHARE: f64 = 0.2;
-
-/// What a failed send weighs against an upstream; one that it shed weighs less.
-const FAILURE_WEIGHT: f64 = 1.0;
-const SHED_WEIGHT: f64 = 0.5;
-
 /// What a stopping host leaves a call for its answer: some round trips to a caller.
 const ANSWER_TIME: Duration = Duration::from_millis(100);
 
@@ -85,17 +75,6 @@
     Abort,
 }
 
-/// What a caller is told of a call.
-#[derive(Debug)]
-enum Reply {
-    /// The answer of an upstream.
-    Answer(attempt::Answer),
-    /// The call did not run, nor will; it may come back after a while.
-    NotRun(Duration),
-    /// The call may have run; no answer came.
-    Unknown(http::StatusCode),
-}
-
 /// Accepts callers.
 pub async fn accept(front: Rc<Front>, listener: TcpListener) {
     loop {
@@ -211,7 +190,7 @@
     };
     let Some(table) = front.book.table() else {
         tracing::info!(event = "not_configured");
-        return not_run(conn, RETRY_AFTER, next()).await;
+        return not_run(conn, sends::RETRY_AFTER, next()).await;
     };
     let host = head::host(&request.parts).unwrap_or_default();
     let Some(route) = table.find(host, request.parts.uri.path()).cloned() else {
@@ -221,12 +200,12 @@
     };
     let call = call(front, request, body, &route, started);
     if front.ends_at.get().is_some_and(|end| call.until + ANSWER_TIME > end) {
-        tracing::info!(event = "stopping_too_soon", id = id_text(&call), route = &*route.name);
-        return not_run(conn, RETRY_AFTER, Next::Close).await;
+        tracing::info!(event = "stopping_too_soon", id = call.id_text(), route = &*route.name);
+        return not_run(conn, sends::RETRY_AFTER, Next::Close).await;
     }
     let left = Cell::new(false);
     let reply = {
-        let run = std::pin::pin!(run(front, &table, &route, &call, &left));
+        let run = std::pin::pin!(sends::run(front, &table, &route, &call, &left));
         let ended = std::pin::pin!(conn.ended());
         match future::select(run, ended).await {
             Either::Left((reply, _)) => reply,
@@ -236,7 +215,7 @@
                 if call.idempotency == profile::Idempotency::AtMostOnce {
                     run.await;
                 }
-                tracing::info!(event = "caller_left", id = id_text(&call), route = &*route.name);
+                tracing::info!(event = "caller_left", id = call.id_text(), route = &*route.name);
                 return Ok(Next::Abort);
             }
         }
@@ -295,202 +274,35 @@
     attempt::Call { parts, body, id, idempotency: route.idempotency, until }
 }
 
-fn id_text(call: &attempt::Call) -> &str {
-    call.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default()
-}
-
-/// Sends a call to one upstream after another until it is answered, or may not be sent again.
-async fn run(
-    front: &Front,
-    table: &route::Table,
-    route: &route::Route,
-    call: &attempt::Call,
-    left: &Cell<bool>,
-) -> Reply {
-    let started = Instant::now();
-    let found = route.draw().and_then(|name| table.services.get_key_value(name));
-    let Some((name, service)) = found else {
-        tracing::warn!(event = "no_service", route = &*route.name, version = table.version);
-        return Reply::NotRun(RETRY_AFTER);
-    };
-    let queue = front.placer.queue(name);
-    queue.retries.count_call(started);
-    let least = route.target.mul_f64(LEAST_TIME_SHARE);
-    let mut tried: Vec<Rc<str>> = Vec::new();
-    let mut reply = Reply::NotRun(RETRY_AFTER);
-    let mut may_have_run = false;
-    let mut sends = 0;
-    while sends < route.max_attempts.max(1) {
-        if sends > 0 && !queue.retries.try_spend(Instant::now(), front.allowance()) {
-            break;
-        }
-        let until = call.until.checked_sub(least).unwrap_or(call.until);
-        let need = place::Need {
-            service: name,
-            rank: route.rank,
-            tried: &tried,
-            until,
-            deadline: call.until,
-            target_at: started + route.target,
-            usual: queue.usual(route),
-        };
-        let lease = match front.placer.place(&need, service).await {
-            Ok(lease) => lease,
-            Err(refusal) => {
-                log_refusal(call, route, name, refusal, sends, started);
-                break;
-            }
-        };
-        if left.get() {
-            break;
-        }
-        sends += 1;
-        let sent = Instant::now();
-        let end = attempt::send(call, &lease.upstream, &front.protocol).await;
-        let waited = sent.saturating_duration_since(started);
-        log_send(call, route, table, &lease, &end, (waited, sent.elapsed()));
-        note_version(front, name, route, &lease, &end, sent.elapsed());
-        tried.push(Rc::clone(&lease.upstream.id));
-        let now = Instant::now();
-        match end {
-            attempt::End::Answered(answer) => {
-                let failed = answer.status.is_server_error();
-                match failed {
-                    true => lease.upstream.note_failure(now, FAILURE_WEIGHT),
-                    false => {
-                        lease.upstream.note_success(now);
-                        queue.note_time(route, lease.cost, sent.elapsed());
-                    }
-                }
-                reply = Reply::Answer(answer);
-                if !failed || call.idempotency == profile::Idempotency::AtMostOnce {
-                    break;
-                }
-                may_have_run = true;
-            }
-            attempt::End::NotRun(cause) => {
-                let weight = match cause {
-                    attempt::Cause::Shed => SHED_WEIGHT,
-                    _ => FAILURE_WEIGHT,
-                };
-                lease.upstream.note_failure(now, weight);
-                if matches!(reply, Reply::NotRun(_)) {
-                    reply = Reply::NotRun(RETRY_AFTER_SHED);
-                }
-            }
-            attempt::End::Unknown(_) => {
-                lease.upstream.note_failure(now, FAILURE_WEIGHT);
-                may_have_run = true;
-                if matches!(reply, Reply::NotRun(_)) {
-                    reply = Reply::Unknown(http::StatusCode::BAD_GATEWAY);
-                }
-                if call.idempotency == profile::Idempotency::AtMostOnce {
-                    break;
-                }
-            }
-        }
-    }
-    match reply {
-        Reply::NotRun(_) if may_have_run => Reply::Unknown(http::StatusCode::GATEWAY_TIMEOUT),
-        reply => reply,
-    }
-}
-
 /// Says that a caller gets no answer of an upstream; every such call has a line.
-fn log_failure(call: &attempt::Call, route: &route::Route, reply: &Reply, started: Instant) {
+fn log_failure(call: &attempt::Call, route: &route::Route, reply: &sends::Reply, started: Instant) {
     let status = match reply {
-        Reply::Answer(_) => return,
-        Reply::NotRun(_) => http::StatusCode::SERVICE_UNAVAILABLE,
-        Reply::Unknown(status) => *status,
+        sends::Reply::Answer(_) => return,
+        sends::Reply::NotRun(_) => http::StatusCode::SERVICE_UNAVAILABLE,
+        sends::Reply::Unknown(status) => *status,
     };
     metrics::counter!("basilhaven_unanswered_total", "status" => status.as_u16().to_string())
         .increment(1);
     tracing::info!(
         event = "not_answered",
-        id = id_text(call),
+        id = call.id_text(),
         route = &*route.name,
         status = status.as_u16(),
         total_ms = started.elapsed().as_millis() as u64,
     );
 }
 
-/// Keeps how a call ended as evidence on the version that ran it; cold upstreams are slow whatever version they
-/// run.
-fn note_version(
-    front: &Front,
-    service: &Rc<str>,
-    route: &route::Route,
-    lease: &place::Lease,
-    end: &attempt::End,
-    took: Duration,
-) {
-    let failed = match end {
-        attempt::End::Answered(answer) => answer.status.is_server_error(),
-        attempt::End::NotRun(_) => return,
-        attempt::End::Unknown(_) => true,
-    };
-    if !failed && lease.upstream.warmup.is_cold(Instant::now()) {
-        return;
-    }
-    let count = moves::evidence::Count::of_one(failed, lease.cost, took);
-    let version = Rc::clone(&lease.upstream.entry().version);
-    front.placer.moves.note(service, &route.name, &version, count);
-}
-
-fn log_refusal(
-    call: &attempt::Call,
-    route: &route::Route,
-    service: &str,
-    refusal: place::Refusal,
-    sends: u32,
-    started: Instant,
-) {
-    metrics::counter!("basilhaven_refusals_total", "reason" => refusal.to_string()).increment(1);
-    tracing::info!(
-        event = "not_placed",
-        id = id_text(call),
-        route = &*route.name,
-        service,
-        reason = %refusal,
-        sends,
-        waited_ms = started.elapsed().as_millis() as u64,
-    );
-}
-
-fn log_send(
-    call: &attempt::Call,
-    route: &route::Route,
-    table: &route::Table,
-    lease: &place::Lease,
-    end: &attempt::End,
-    (waited, took): (Duration, Duration),
-) {
-    let outcome = match end {
-        attempt::End::Answered(answer) => answer.status.as_u16().to_string(),
-        attempt::End::NotRun(cause) => format!("not-run: {cause}"),
-        attempt::End::Unknown(cause) => format!("unknown: {cause}"),
-    };
-    metrics::histogram!("basilhaven_send_seconds").record(took.as_secs_f64());
-    tracing::info!(
-        event = "sent",
-        id = id_text(call),
-        route = &*route.name,
-        version = table.version,
-        upstream = &*lease.upstream.id,
-        cost = lease.cost as f32,
-        candidates = lease.candidates,
-        report_age_ms = lease.report_age.as_millis() as u64,
-        waited_ms = waited.as_millis() as u64,
-        took_ms = took.as_millis() as u64,
-        outcome,
-    );
-}
-
-async fn deliver(conn: &mut http1::Conn, reply: Reply, next: Next) -> Result<Next, http1::Error> {
+async fn deliver(
+    conn: &mut http1::Conn,
+    reply: sends::Reply,
+    next: Next,
+) -> Result<Next, http1::Error> {
     match reply {
-        Reply::NotRun(after) => not_run(conn, after, next).await,
-        Reply::Unknown(status) => send(conn, status, &HeaderMap::new(), Bytes::new(), next).await,
-        Reply::Answer(answer) => match answer.rest {
+        sends::Reply::NotRun(after) => not_run(conn, after, next).await,
+        sends::Reply::Unknown(status) => {
+            send(conn, status, &HeaderMap::new(), Bytes::new(), next).await
+        }
+        sends::Reply::Answer(answer) => match answer.rest {
             None => send(conn, answer.status, &answer.headers, answer.body, next).await,
             Some(rest) => {
                 let head = (answer.status, answer.headers);
