Tell in one place whether a response leaves its connection open, and for how long

The condition stood in the client, in probes, in sends and in the older entry; it is head::Response::leaves_open now, and the Keep-Alive time is read beside it instead of in the sends. Behaviour is as it was.

--- a/crates/basilhaven/src/entry/exchange.rs
+++ b/crates/basilhaven/src/entry/exchange.rs
@@ -301,10 +301,7 @@
         next: Next,
     ) -> Result<Next, Failure> {
         let Answer { mut conn, response, .. } = answer;
-        let parts = &response.parts;
-        let is_clean = upload.rest.is_done()
-            && head::keeps_alive(parts.version, &parts.headers)
-            && response.framing != body::Framing::UntilClose;
+        let is_clean = upload.rest.is_done() && response.leaves_open();
         let next = self.pass_pieces_on(caller, &mut conn, response, next).await?;
         if is_clean && !conn.has_leftover() {
             self.lease.upstream().keep_idle(conn);
--- a/crates/basilhaven/src/gateway/attempt.rs
+++ b/crates/basilhaven/src/gateway/attempt.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use http::header::{HeaderMap, HeaderName, HeaderValue};
+use http::header::{HeaderMap, HeaderValue};
 
 use super::{protocol, upstream};
 use crate::http1::{self, body, head};
@@ -231,11 +231,8 @@
     let not_run = headers.contains_key(&protocol.fields.not_run)
         || status == http::StatusCode::MISDIRECTED_REQUEST;
     let right = !status.is_success() || headers.contains_key(&protocol.fields.signature);
-    let reusable = head::keeps_alive(response.parts.version, headers)
-        && response.framing != body::Framing::UntilClose
-        && reader.is_done()
-        && strange == 0
-        && !conn.has_leftover();
+    let reusable =
+        response.leaves_open() && reader.is_done() && strange == 0 && !conn.has_leftover();
     Received { response, body, reader, not_run, right, reusable }
 }
 
@@ -246,10 +243,9 @@
     until: Instant,
 ) -> End {
     let Received { response, body, reader, not_run, right, reusable } = received;
-    let mut headers = response.parts.headers;
     let mut rest = None;
     if reusable {
-        upstream.keep_conn(conn, Instant::now(), keep_time(&headers));
+        upstream.keep_conn(conn, Instant::now(), response.keep_time());
     } else if !reader.is_done() {
         rest = Some(Box::new(Rest { conn, reader, framing: response.framing, until }));
     }
@@ -259,18 +255,11 @@
     if !right {
         return End::Unknown(Cause::BadAnswer);
     }
+    let mut headers = response.parts.headers;
     head::remove_hop_by_hop(&mut headers);
     End::Answered(Answer { status: response.parts.status, headers, body, rest })
 }
 
-/// How long the upstream keeps an idle connection, when it says so.
-pub(super) fn keep_time(headers: &HeaderMap) -> Option<Duration> {
-    const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
-    let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    timeout.parse().ok().map(Duration::from_secs)
-}
-
 /// The bytes of the request to an upstream.
 fn encode(call: &Call, upstream: &upstream::Upstream, fields: &protocol::Fields) -> Bytes {
     let left = call.until.saturating_duration_since(Instant::now());
--- a/crates/basilhaven/src/gateway/probe.rs
+++ b/crates/basilhaven/src/gateway/probe.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderValue};
 
-use super::{attempt, cluster, protocol, upstream};
+use super::{cluster, protocol, upstream};
 use crate::http1::{self, body, client};
 
 /// The longest that a probe may take; upstreams answer it at once, beside the round trip.
@@ -124,17 +124,15 @@
         let address = upstream.entry().address;
         conn.write(request(path, address)).await?;
         let response = conn.read_response(&http::Method::GET, MAX_HEAD_LEN).await?;
-        let headers = response.parts.headers;
-        if headers.contains_key(&self.protocol.fields.request_id) {
+        if response.parts.headers.contains_key(&self.protocol.fields.request_id) {
             return Err(http1::Error::malformed("late answer to a call"));
         }
         let mut reader = body::Reader::new(response.framing);
         client::read_all(&mut conn, &mut reader, MAX_BODY_LEN).await?;
-        let kept = http1::head::keeps_alive(response.parts.version, &headers);
-        if kept && response.framing != body::Framing::UntilClose && !conn.has_leftover() {
-            upstream.keep_conn(conn, Instant::now(), attempt::keep_time(&headers));
+        if response.leaves_open() && !conn.has_leftover() {
+            upstream.keep_conn(conn, Instant::now(), response.keep_time());
         }
-        Ok((response.parts.status, headers))
+        Ok((response.parts.status, response.parts.headers))
     }
 
     fn take(
--- a/crates/basilhaven/src/http1/client.rs
+++ b/crates/basilhaven/src/http1/client.rs
@@ -79,8 +79,7 @@
     let response = conn.read_response(&request.method, MAX_HEAD_LEN).await?;
     let mut reader = body::Reader::new(response.framing);
     let body = read_all(conn, &mut reader, max_body_len).await?;
-    let kept = head::keeps_alive(response.parts.version, &response.parts.headers);
-    let reusable = kept && response.framing != body::Framing::UntilClose && !conn.has_leftover();
+    let reusable = response.leaves_open() && !conn.has_leftover();
     Ok(Response { status: response.parts.status, headers: response.parts.headers, body, reusable })
 }
 
--- a/crates/basilhaven/src/http1/head.rs
+++ b/crates/basilhaven/src/http1/head.rs
@@ -1,6 +1,7 @@
 //! Heads of requests and responses: checked on the way in, rewritten on the way out.
 
 use std::io::Write as _;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -27,6 +28,22 @@
     pub framing: body::Framing,
 }
 
+impl Response {
+    /// Whether its connection may carry another request once its body has been read.
+    pub fn leaves_open(&self) -> bool {
+        keeps_alive(self.parts.version, &self.parts.headers)
+            && self.framing != body::Framing::UntilClose
+    }
+
+    /// How long the server keeps an idle connection, when it says so.
+    pub fn keep_time(&self) -> Option<Duration> {
+        const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+        let value = self.parts.headers.get(KEEP_ALIVE)?.to_str().ok()?;
+        let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+        timeout.parse().ok().map(Duration::from_secs)
+    }
+}
+
 /// Header fields that belong to one connection, not to the message.
 const HOP_BY_HOP: [HeaderName; 9] = [
     header::CONNECTION,
