Tests wait until a host has its configuration

What was seen: invalid_keys_are_refused got 503 for 400 once.

Cause: hosts log `ready` before they have read the platform, and refuse calls with 503 until then. Cluster::start_all waited only until the hosts knew each other, which a single host does at once.

Ruled out: the key is checked before a claim is made, so a lapsed lease cannot give 503 here (entry/forward.rs).

--- a/crates/basilhaven-bench/src/cluster.rs
+++ b/crates/basilhaven-bench/src/cluster.rs
@@ -151,7 +151,8 @@
         Daemon { process, name: name.to_owned(), callers, admin, peer }
     }
 
-    /// Starts one daemon for each data centre given, and waits until each of them knows all others.
+    /// Starts one daemon for each data centre given, and waits until each of them knows all others
+    /// and has a configuration.
     ///
     /// # Panics
     ///
@@ -167,7 +168,9 @@
         }
         let until = Instant::now() + JOIN_TIMEOUT;
         for daemon in &daemons {
-            while daemon.advertised_hosts().await.len() < daemons.len() {
+            while daemon.advertised_hosts().await.len() < daemons.len()
+                || !daemon.is_configured().await
+            {
                 assert!(Instant::now() < until, "{} does not know all hosts in time", daemon.name);
                 monoio::time::sleep(Duration::from_millis(20)).await;
             }
@@ -182,6 +185,13 @@
 }
 
 impl Daemon {
+    /// Returns whether this daemon has a configuration; until then it refuses calls with 503.
+    pub async fn is_configured(&self) -> bool {
+        let request = client::Request::new(http::Method::GET, "/healthz", "").expect("a path");
+        let response = client::call(self.admin, &request, Duration::from_secs(2), 1 << 10).await;
+        response.is_ok_and(|response| response.status == http::StatusCode::OK)
+    }
+
     /// Returns this daemon's status.
     pub async fn status(&self) -> admin::status::Status {
         let response = self.call_admin(http::Method::GET, "/v1/status", Vec::new()).await;
