--- a/crates/basilhaven-bench/src/gateway.rs
+++ b/crates/basilhaven-bench/src/gateway.rs
@@ -135,9 +135,14 @@
 
     /// Returns how many hosts it considers live, including itself; `None` if it does not respond.
     pub fn live_hosts(&self) -> Option<usize> {
+        self.metric("basilhaven_live_hosts").map(|count| count as usize)
+    }
+
+    /// Returns the value of one of its metrics; `None` if it does not respond or has no such metric.
+    pub fn metric(&self, name: &str) -> Option<f64> {
         let page = get(self.metrics, "/metrics").ok()?.body;
-        let value = page.lines().find_map(|line| line.strip_prefix("basilhaven_live_hosts "))?;
-        value.parse::<f64>().ok().map(|count| count as usize)
+        let values = page.lines().filter_map(|line| line.split_once(' '));
+        values.filter(|(own, _)| *own == name).find_map(|(_, value)| value.parse().ok())
     }
 
     /// Returns the hosts that its directory advertises; none if it does not respond.
--- a/crates/basilhaven-bench/src/soak/mod.rs
+++ b/crates/basilhaven-bench/src/soak/mod.rs
@@ -16,6 +16,7 @@
 
 pub mod caller;
 pub mod check;
+pub mod delay;
 pub mod plan;
 pub mod proxy;
 pub mod system;
@@ -77,6 +78,11 @@
     pub calls: IndexMap<String, usize>,
     /// The properties that were violated.
     pub findings: Vec<check::Violation>,
+    /// The longest delay of a thread of the soak itself, in milliseconds: what the machine did to
+    /// all processes.
+    pub own_delay_ms: u64,
+    /// The longest delay of a heartbeat of each host process that ran to the end, in milliseconds.
+    pub host_delays_ms: Vec<u64>,
     /// The directory with the hosts' logs, if a property was violated.
     pub logs: Option<std::path::PathBuf>,
 }
@@ -85,6 +91,7 @@
 pub async fn run(options: Options) -> Outcome {
     let size = plan::Size { hosts: options.hosts, upstreams: options.upstreams };
     let net = (FIRST_NET + options.seed % NET_COUNT) as u8;
+    let delay = delay::Monitor::start();
     let mut system = system::System::start(size, net).await;
     let mut violations = Vec::new();
     if !converges(&mut system).await {
@@ -110,6 +117,8 @@
     let mut records = callers.finish();
     monoio::time::sleep(DRAIN_DELAY).await;
     records.extend(final_calls(&system, options.seed, &mut violations));
+    let delays = system.hosts().filter_map(|host| host.metric("basilhaven_longest_delay_seconds"));
+    let host_delays_ms = delays.map(|seconds| (seconds * 1000.0) as u64).collect();
     system.collect_logs();
     let mut findings = check::verify(&records, &system.upstreams, &system.history);
     findings.extend(violations);
@@ -120,6 +129,8 @@
         processes: system.history.runs.len(),
         calls: count_by_outcome(&records),
         findings,
+        own_delay_ms: delay.longest().as_millis() as u64,
+        host_delays_ms,
         logs,
     }
 }
--- a/crates/basilhaven/src/gateway/cluster/datagram.rs
+++ b/crates/basilhaven/src/gateway/cluster/datagram.rs
@@ -38,6 +38,7 @@
 /// Sends this host's view, which is the heartbeats and the steps of moves that it knows, to some
 /// hosts periodically.
 pub async fn gossip(replica: Rc<updates::Replica>, socket: Rc<UdpSocket>) {
+    let mut longest_delay = Duration::ZERO;
     loop {
         send_heartbeat(&replica, &socket).await;
         replica.members.remove_expired(Instant::now());
@@ -52,6 +53,8 @@
         let before = Instant::now();
         monoio::time::sleep(interval).await;
         let delay = before.elapsed().saturating_sub(interval);
+        longest_delay = longest_delay.max(delay);
+        metrics::gauge!("basilhaven_longest_delay_seconds").set(longest_delay.as_secs_f64());
         if delay >= PAUSE_THRESHOLD {
             tracing::warn!(event = "stood_still", ms = delay.as_millis() as u64);
             replica.members.record_pause(delay);
