A watcher that follows another one stays until it can read the store again

What was seen: three soak tests failed together, with calls refused everywhere; one host had logged 1,081 `following` in one second.

Cause: with two live hosts both are watchers. One that cannot read the store follows the other, and at the first message leaves it, because watchers do not follow; the store having failed less than a second ago, it follows again at once. The loop takes a core of each of the two hosts while the link is down.

Whether the loop alone made them fail is suspected, not shown.

--- a/crates/basilhaven-bench/tests/gateway/hosts.rs
+++ b/crates/basilhaven-bench/tests/gateway/hosts.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use basilhaven_bench::process::Signal;
+use basilhaven_bench::soak::proxy::{Link, Proxy};
 use basilhaven_bench::standin::block_on;
 use basilhaven_bench::standin::users::store::{Mode, Store};
 use basilhaven_bench::standin::users::upstream::{Behaviour, Upstream};
@@ -297,3 +298,31 @@
         assert!(stderr.contains(flag), "{flag} is missing in: {stderr}");
     }
 }
+
+#[test]
+fn a_watcher_that_cannot_read_the_store_does_not_reconnect_to_the_other_in_a_loop() {
+    block_on(async {
+        let store = Store::start();
+        store.put("op", "config", &config(1, SERVICE));
+        let network = Network::new(35, 2);
+        let mut hosts = Vec::new();
+        let mut links = Vec::new();
+        for ip in &network.ips {
+            let link = Proxy::start(store.address());
+            let host =
+                Host::start_with(link.address(), *ip, network.port, &network.seeds, &[]).await;
+            links.push(link);
+            hosts.push(host);
+        }
+        wait_until("all are ready", || hosts.iter().all(Host::is_ready)).await;
+        wait_until("two hosts watch the store", || {
+            hosts.iter().filter(|host| host.watches_store()).count() == 2
+        })
+        .await;
+        links[0].set_link(Link::Resets);
+        monoio::time::sleep(Duration::from_secs(3)).await;
+        let lines = hosts[0].process.lines();
+        let follows = lines.iter().filter(|line| line["event"] == "following").count();
+        assert!((1..=20).contains(&follows), "followed {follows} times in 3 s");
+    });
+}
--- a/crates/basilhaven/src/gateway/updates.rs
+++ b/crates/basilhaven/src/gateway/updates.rs
@@ -422,6 +422,15 @@
         store.or_else(|| self.pick_host(&watchers.others, now))
     }
 
+    /// Returns whether this host should no longer follow `host`, because there is a better origin.
+    fn should_leave(&self, host: SocketAddr, now: Instant) -> bool {
+        let watchers = self.members.watchers(now);
+        let is_watcher = watchers.others.contains(&host) || watchers.reserves.contains(&host);
+        // A watcher that cannot read the store follows another one meanwhile.
+        let can_watch = watchers.is_watcher && !self.has_failed_recently(Origin::Store, now);
+        can_watch || !is_watcher
+    }
+
     fn pick_host(&self, hosts: &[SocketAddr], now: Instant) -> Option<Origin> {
         let known = hosts.iter().filter(|host| !self.is_without_eras(host, now));
         let available: Vec<Origin> = known.map(|&host| Origin::Host(host)).collect();
@@ -445,12 +454,7 @@
         let result = match origin {
             Origin::Store => watch_store(&*store, &replica).await,
             Origin::Host(host) => {
-                let should_stop = || {
-                    let watchers = replica.members.watchers(Instant::now());
-                    let is_watcher =
-                        watchers.others.contains(&host) || watchers.reserves.contains(&host);
-                    watchers.is_watcher || !is_watcher
-                };
+                let should_stop = || replica.should_leave(host, Instant::now());
                 relay::follow(&replica, host, should_stop).await.map_err(|e| e.to_string())
             }
         };
