--- a/crates/basilhaven-bench/src/soak/mod.rs
+++ b/crates/basilhaven-bench/src/soak/mod.rs
@@ -17,6 +17,7 @@
 pub mod caller;
 pub mod check;
 pub mod delay;
+pub mod links;
 pub mod plan;
 pub mod proxy;
 pub mod system;
--- a/crates/basilhaven-bench/src/soak/proxy.rs
+++ b/crates/basilhaven-bench/src/soak/proxy.rs
@@ -2,12 +2,14 @@
 
 use std::io::{self, Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 
 use nix::sys::socket;
 use std::os::fd::AsRawFd as _;
 
+use super::links::Links;
+
 /// How often an idle direction checks whether its connections are to be reset.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -29,6 +31,8 @@
     DropsResponses,
     /// Open connections are reset, and new ones as soon as they are accepted.
     Resets,
+    /// Open connections forward bytes, and new ones are reset as soon as they are accepted.
+    ResetsNew,
 }
 
 /// The two directions of a connection.
@@ -38,11 +42,21 @@
     ToClient,
 }
 
+/// The client of a connection.
+#[derive(Debug)]
+struct Client {
+    address: SocketAddr,
+    /// The process that has opened the connection, once it was looked up; `None` if it has closed
+    /// the connection already.
+    process: OnceLock<Option<u32>>,
+}
+
 /// A running proxy; its threads end with the process.
 #[derive(Debug, Clone)]
 pub struct Proxy {
     address: SocketAddr,
     link: Arc<Mutex<Link>>,
+    links: Links,
 }
 
 impl Proxy {
@@ -52,9 +66,20 @@
     ///
     /// Panics if no port is free.
     pub fn start(server: SocketAddr) -> Proxy {
+        Proxy::start_among(server, &Links::default())
+    }
+
+    /// Starts a proxy for the server at this address, which also obeys the links of the processes
+    /// that connect to it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no port is free.
+    pub fn start_among(server: SocketAddr, links: &Links) -> Proxy {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("a bound socket");
-        let proxy = Proxy { address, link: Arc::new(Mutex::new(Link::Open)) };
+        let link = Arc::new(Mutex::new(Link::Open));
+        let proxy = Proxy { address, link, links: links.clone() };
         let served = proxy.clone();
         std::thread::spawn(move || {
             for client in listener.incoming().flatten() {
@@ -79,8 +104,22 @@
         self.link.lock().expect("no thread panics while it holds the link")
     }
 
+    /// Returns the state of the link for a connection of this client.
+    fn link_for(&self, client: &Client) -> Link {
+        if self.links.are_open() {
+            return *self.lock();
+        }
+        let process = client.process.get_or_init(|| self.links.owner(client.address));
+        let link = process.map(|process| self.links.link_of(process));
+        match link {
+            None | Some(Link::Open) => *self.lock(),
+            Some(link) => link,
+        }
+    }
+
     fn connect(&self, client: TcpStream, server: SocketAddr) -> io::Result<()> {
-        if *self.lock() == Link::Resets {
+        let opened_by = Arc::new(Client { address: client.peer_addr()?, process: OnceLock::new() });
+        if matches!(self.link_for(&opened_by), Link::Resets | Link::ResetsNew) {
             return reset_on_close(&client);
         }
         let server = TcpStream::connect(server)?;
@@ -92,9 +131,10 @@
             from.set_read_timeout(Some(POLL_INTERVAL))?;
             let (from, to) = (from.try_clone()?, to.try_clone()?);
             let (proxy, has_lost_bytes) = (self.clone(), Arc::clone(&has_lost_bytes));
+            let opened_by = Arc::clone(&opened_by);
             std::thread::spawn(move || {
                 // An error on one side ends the connection on both.
-                let _ = proxy.forward(&from, &to, direction, &has_lost_bytes);
+                let _ = proxy.forward(&from, &to, direction, &opened_by, &has_lost_bytes);
                 let _ = from.shutdown(Shutdown::Both);
                 let _ = to.shutdown(Shutdown::Both);
             });
@@ -107,12 +147,13 @@
         mut from: &TcpStream,
         mut to: &TcpStream,
         direction: Direction,
+        client: &Client,
         has_lost_bytes: &Mutex<bool>,
     ) -> io::Result<()> {
         let mut buffer = vec![0; BUFFER_LEN];
         loop {
             let read = from.read(&mut buffer);
-            let link = *self.lock();
+            let link = self.link_for(client);
             if link == Link::Resets {
                 reset_on_close(from)?;
                 return reset_on_close(to);
--- a/crates/basilhaven-bench/tests/gateway/main.rs
+++ b/crates/basilhaven-bench/tests/gateway/main.rs
@@ -9,3 +9,4 @@
 mod pipelining;
 mod responses;
 mod restore;
+mod stranded;
