--- a/crates/basilhaven/src/gateway/attempt.rs
+++ b/crates/basilhaven/src/gateway/attempt.rs
@@ -10,7 +10,7 @@
 use crate::profile;
 
 /// Maximum length in bytes of a response head.
-const MAX_HEAD_LEN: usize = 64 * 1024;
+pub(super) const MAX_HEAD_LEN: usize = 64 * 1024;
 
 /// Bytes of a response body that are buffered; a longer body is streamed to the caller.
 const MAX_BUFFERED_LEN: usize = 256 * 1024;
@@ -118,6 +118,7 @@
         Ok(Ok(conn)) => conn,
         Ok(Err(error)) => {
             tracing::debug!(event = "connect_failed", upstream = &*upstream.id, %error);
+            upstream.contact.record_silence(Instant::now());
             return Outcome::NotRun(Cause::Connect);
         }
         Err(_) => return Outcome::NotRun(Cause::Timeout),
@@ -129,6 +130,7 @@
     };
     match received {
         Ok(received) => {
+            upstream.contact.record_response(Instant::now());
             let parts = &received.response.parts;
             // A misdirected call was answered by another upstream, at a reused address.
             if parts.status != http::StatusCode::MISDIRECTED_REQUEST {
@@ -138,6 +140,7 @@
         }
         Err(error) => {
             tracing::debug!(event = "exchange_failed", upstream = &*upstream.id, %error);
+            upstream.record_error(&error, Instant::now());
             Outcome::Unknown(match error.category() {
                 http1::Category::Malformed | http1::Category::HeadTooLarge => {
                     Cause::InvalidResponse
@@ -215,7 +218,7 @@
 }
 
 /// Reads the body up to the length that is buffered.
-async fn buffer_body(
+pub(super) async fn buffer_body(
     conn: &mut http1::Conn,
     reader: &mut body::Reader,
 ) -> Result<Bytes, http1::Error> {
@@ -280,11 +283,16 @@
     if let Ok(id) = HeaderValue::from_str(&upstream.id) {
         headers.insert(names.expected_upstream.clone(), id);
     }
+    encode_request(call, &headers)
+}
+
+/// Encodes the request of a call with these header fields.
+pub(super) fn encode_request(call: &Call, headers: &HeaderMap) -> Bytes {
     let framing = match call.body.len() as u64 {
         0 => body::Framing::Empty,
         len => body::Framing::Length(len),
     };
-    let head = head::encode_request(&call.parts.method, &call.parts.uri, &headers, framing);
+    let head = head::encode_request(&call.parts.method, &call.parts.uri, headers, framing);
     if call.body.is_empty() {
         return head;
     }
--- a/crates/basilhaven/src/gateway/balancer.rs
+++ b/crates/basilhaven/src/gateway/balancer.rs
@@ -7,7 +7,9 @@
 
 use indexmap::IndexMap;
 
-use super::{cluster, limit, moves, probe, registry, retries, route, selection, upstream};
+use super::{
+    cluster, contact, limit, moves, probe, reach, registry, retries, route, selection, upstream,
+};
 
 /// Maximum number of upstreams that one search probes for their load.
 const PROBES_PER_SEARCH: usize = 6;
@@ -57,6 +59,8 @@
     pub target_at: Instant,
     /// Baseline latency of the route's calls; see [`Queue::baseline`].
     pub baseline: Duration,
+    /// Whether another host can place the call.
+    pub can_be_passed_on: bool,
 }
 
 impl Requirements<'_> {
@@ -89,6 +93,10 @@
     /// No upstream had capacity in time.
     #[display("no-room")]
     NoCapacity,
+    /// Upstreams do not respond to this host: none of the service, or most of them if another host
+    /// can place the call.
+    #[display("unreachable")]
+    Unreachable,
     /// All eligible upstreams name a rate of calls, and these rates do not admit the call in time.
     #[display("rate-limited")]
     RateLimited {
@@ -237,6 +245,7 @@
     /// Moves of services between versions, which decide the version that takes a call.
     pub moves: Rc<moves::Moves>,
     prober: Rc<probe::Prober>,
+    reach: Rc<reach::Services>,
     queues: RefCell<IndexMap<Rc<str>, Rc<Queue>>>,
 }
 
@@ -248,9 +257,10 @@
         members: Rc<cluster::Members>,
         moves: Rc<moves::Moves>,
         prober: Rc<probe::Prober>,
+        reach: Rc<reach::Services>,
     ) -> Balancer {
         let queues = RefCell::default();
-        Balancer { data_centre, registry, members, moves, prober, queues }
+        Balancer { data_centre, registry, members, moves, prober, reach, queues }
     }
 
     /// Returns the queue of a service.
@@ -258,12 +268,32 @@
         Rc::clone(self.queues.borrow_mut().entry(Rc::clone(service)).or_default())
     }
 
+    /// Returns whether no upstream of a service responds to this host.
+    pub fn is_lost(&self, service: &str) -> bool {
+        self.reach.is_lost(service)
+    }
+
+    /// Returns an error if a call that found no capacity should not wait for it on this host,
+    /// because upstreams do not respond to it.
+    fn check_reach(&self, requirements: &Requirements<'_>, now: Instant) -> Result<(), Refusal> {
+        let upstreams = self.registry.upstreams_of(requirements.service);
+        let eligible: Vec<_> =
+            upstreams.iter().filter(|u| self.registry.is_eligible(u, now)).collect();
+        match self.reach.update(requirements.service, &eligible, now) {
+            contact::Coverage::Lost => Err(Refusal::Unreachable),
+            contact::Coverage::Partial if requirements.can_be_passed_on => {
+                Err(Refusal::Unreachable)
+            }
+            contact::Coverage::Partial | contact::Coverage::Full => Ok(()),
+        }
+    }
+
     /// Waits for an upstream that can take the call, and reserves a slot on it.
     ///
     /// # Errors
     ///
-    /// Returns an error if no upstream of the service is eligible, or none has capacity before
-    /// [`queue_until`](Requirements::queue_until).
+    /// Returns an error if no upstream of the service is eligible or responds to this host, or none
+    /// has capacity before [`queue_until`](Requirements::queue_until).
     pub async fn acquire(
         &self,
         requirements: &Requirements<'_>,
@@ -274,12 +304,15 @@
         let mut searches = 0;
         loop {
             let seen = queue.slot_freed.count();
+            if self.reach.is_lost(requirements.service) {
+                return Err(Refusal::Unreachable);
+            }
             if ticket.ahead(Instant::now()) < MAX_CONCURRENT_SEARCHES {
                 let subset_size = SUBSET_SIZE << searches.min(MAX_DOUBLINGS);
                 searches += 1;
                 match self.search(requirements, service, &queue, subset_size).await {
                     Ok(permit) => return Ok(permit),
-                    Err(Refusal::NoCapacity) => {}
+                    Err(Refusal::NoCapacity) => self.check_reach(requirements, Instant::now())?,
                     // Waiting does not help while no upstream is eligible.
                     Err(refusal) => return Err(refusal),
                 }
--- a/crates/basilhaven/src/gateway/cluster.rs
+++ b/crates/basilhaven/src/gateway/cluster.rs
@@ -19,6 +19,7 @@
 pub mod advertised;
 pub mod datagram;
 pub mod partition;
+pub mod reach;
 
 /// Number of hosts to which a host sends each of its heartbeats, along with those that it forwards,
 /// in a small and in a large cluster.
@@ -99,6 +100,10 @@
     can_read_store: bool,
     /// Capacity of the host, in twentieths of a core.
     capacity: u8,
+    /// The services that the host reaches; sent after the [frame](datagram::encode), which earlier
+    /// builds ignore.
+    #[serde(skip)]
+    reach: reach::Reach,
 }
 
 impl Heartbeat {
@@ -107,6 +112,19 @@
         rapidhash::v3::rapidhash_v3(&self.address)
     }
 
+    /// Returns whether the host reaches no service.
+    fn is_stranded(&self) -> bool {
+        self.reach == reach::Reach::Nothing
+    }
+
+    /// Keeps the known reach of the same process if this heartbeat was forwarded by a host of an
+    /// earlier build, which drops the reach.
+    fn keep_reach(&mut self, known: &Heartbeat) {
+        if self.reach == reach::Reach::Unknown && self.incarnation == known.incarnation {
+            self.reach = known.reach;
+        }
+    }
+
     /// Returns the address for other hosts.
     pub fn peer_addr(&self) -> SocketAddr {
         SocketAddrV4::new(Ipv4Addr::from(self.address), self.peer_port).into()
@@ -118,6 +136,17 @@
     }
 }
 
+/// Another host that may take calls of this one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate {
+    /// Address for other hosts.
+    pub peer: SocketAddr,
+    /// Whether the host is in the data centre of this one.
+    pub is_local: bool,
+    /// Whether the host is advertised to callers. It then has most of the common budget of probes.
+    pub is_advertised: bool,
+}
+
 /// The newest heartbeat of another host, and when it was received.
 #[derive(Debug, Clone, Copy)]
 struct Peer {
@@ -176,6 +205,7 @@
             state: State::Starting,
             can_read_store: true,
             capacity,
+            reach: reach::Reach::All,
         };
         Members {
             own: Cell::new(own),
@@ -206,6 +236,38 @@
         self.advertised.borrow_mut().invalidate();
     }
 
+    /// Returns the services that this host has announced to reach.
+    pub fn reach(&self) -> reach::Reach {
+        self.own.get().reach
+    }
+
+    /// Sets the services that this host announces to reach; returns whether they have changed.
+    pub fn set_reach(&self, reach: reach::Reach) -> bool {
+        let has_changed = self.reach() != reach;
+        if has_changed {
+            self.own.set(Heartbeat { reach, ..self.own.get() });
+            self.advertised.borrow_mut().invalidate();
+        }
+        has_changed
+    }
+
+    /// Returns the other hosts that are ready and reach a service.
+    pub fn hosts_reaching(&self, service: &str, now: Instant) -> Vec<Candidate> {
+        let own = self.own.get();
+        let advertised: Vec<SocketAddr> =
+            self.advertised_hosts(now).current().iter().map(Heartbeat::peer_addr).collect();
+        let peers = self.peers.borrow();
+        let is_reaching = |h: &Heartbeat| h.state == State::Ready && h.reach.includes(service);
+        let reaching = self.live_among(&peers, now).map(|p| p.heartbeat).filter(is_reaching);
+        reaching
+            .map(|heartbeat| Candidate {
+                peer: heartbeat.peer_addr(),
+                is_local: heartbeat.data_centre == own.data_centre,
+                is_advertised: advertised.contains(&heartbeat.peer_addr()),
+            })
+            .collect()
+    }
+
     /// Returns whether the cluster is large.
     fn is_large_cluster(&self) -> bool {
         self.peers.borrow().len() >= MAX_SMALL_CLUSTER
@@ -269,12 +331,18 @@
                 }
             };
             if is_newer {
+                let mut heartbeat = heartbeat;
+                if let Some(known) = peers.get(&heartbeat.peer_addr()) {
+                    heartbeat.keep_reach(&known.heartbeat);
+                }
                 let known =
                     peers.insert(heartbeat.peer_addr(), Peer { heartbeat, received_at: now });
                 let is_known =
                     known.is_some_and(|known| known.heartbeat.incarnation == heartbeat.incarnation);
-                let has_same_state =
-                    known.is_some_and(|known| known.heartbeat.state == heartbeat.state);
+                let has_same_state = known.is_some_and(|known| {
+                    known.heartbeat.state == heartbeat.state
+                        && known.heartbeat.reach == heartbeat.reach
+                });
                 has_new |= !is_known;
                 if !is_known || !has_same_state {
                     self.advertised.borrow_mut().invalidate();
@@ -408,19 +476,20 @@
         }
         let own = self.own.get();
         let advertised = self.advertised_hosts(now);
-        let advertised = advertised.current();
-        match advertised.iter().any(|heartbeat| heartbeat.peer_addr() == own.peer_addr()) {
-            true => partition::Partition::new(rank_among(advertised, &own), advertised.len()),
+        let owners = advertised.reaching();
+        match owners.iter().any(|heartbeat| heartbeat.peer_addr() == own.peer_addr()) {
+            true => partition::Partition::new(rank_among(&owners, &own), owners.len()),
             false => partition::Partition::none(),
         }
     }
 
-    /// Returns the coordinator, which is the first of the hosts that watch the store, or `None` if
-    /// this host is the coordinator.
+    /// Returns the coordinator, which is the first of the hosts that watch the store unless it is
+    /// stranded, or `None` if this host is the coordinator.
     pub fn remote_coordinator(&self, now: Instant) -> Option<SocketAddr> {
         let own = self.own.get().peer_addr();
-        let first = self.ranked(now).first().map(Heartbeat::peer_addr);
-        first.filter(|coordinator| *coordinator != own)
+        let ranked = self.ranked(now);
+        let first = ranked.iter().find(|heartbeat| !heartbeat.is_stranded()).or(ranked.first());
+        first.map(Heartbeat::peer_addr).filter(|coordinator| *coordinator != own)
     }
 
     /// Returns the live hosts that are not shutting down: those that can read the store first, then
--- a/crates/basilhaven/src/gateway/cluster/advertised.rs
+++ b/crates/basilhaven/src/gateway/cluster/advertised.rs
@@ -78,8 +78,18 @@
         &self.current
     }
 
+    /// Returns the current advertised hosts that are not stranded, or all if every one is.
+    pub(super) fn reaching(&self) -> Vec<cluster::Heartbeat> {
+        let is_reaching = |heartbeat: &&cluster::Heartbeat| !heartbeat.is_stranded();
+        match self.current.iter().any(|heartbeat| !heartbeat.is_stranded()) {
+            true => self.current.iter().filter(is_reaching).copied().collect(),
+            false => self.current.clone(),
+        }
+    }
+
     /// Selects the advertised hosts from the ready ones, in the same way on all hosts: as evenly
-    /// from the data centres as possible, hosts of higher capacity first.
+    /// from the data centres as possible, hosts of higher capacity first. Stranded hosts only fill
+    /// up to the minimum number of hosts.
     pub(super) fn select(
         &mut self,
         mut ready: Vec<cluster::Heartbeat>,
@@ -89,7 +99,14 @@
         // The inverse of the order of watchers, so that the failure of one host does not take away
         // both a watcher and an advertised host.
         let inverse_rank = |heartbeat: &cluster::Heartbeat| !heartbeat.rank();
-        ready.sort_by_key(|p| (u8::MAX - p.capacity, inverse_rank(p), p.peer_addr()));
+        ready.sort_by_key(|p| {
+            (p.is_stranded(), u8::MAX - p.capacity, inverse_rank(p), p.peer_addr())
+        });
+        let stranded: Vec<SocketAddr> = ready
+            .iter()
+            .filter(|heartbeat| heartbeat.is_stranded())
+            .map(cluster::Heartbeat::peer_addr)
+            .collect();
         let mut counts: IndexMap<u16, usize> = IndexMap::new();
         let mut ranked: Vec<(usize, cluster::Heartbeat)> = Vec::with_capacity(ready.len());
         for heartbeat in ready {
@@ -97,11 +114,14 @@
             ranked.push((*count, heartbeat));
             *count += 1;
         }
-        ranked.sort_by_key(|(number, heartbeat)| (*number, inverse_rank(heartbeat)));
-        ranked.truncate(required_count(slots));
+        ranked.sort_by_key(|(number, h)| (h.is_stranded(), *number, inverse_rank(h)));
+        let reaching = ranked.iter().filter(|(_, heartbeat)| !heartbeat.is_stranded()).count();
+        let count = required_count(slots);
+        ranked.truncate(if reaching == 0 { count } else { count.min(reaching.max(MIN_HOSTS)) });
         self.selected_at = Some(now);
         self.current = ranked.into_iter().map(|(_, heartbeat)| heartbeat).collect();
-        self.recent.extend(self.current.iter().map(|heartbeat| (heartbeat.peer_addr(), now)));
+        self.recent.retain(|host, _| !stranded.contains(host));
+        self.recent.extend(self.reaching().iter().map(|heartbeat| (heartbeat.peer_addr(), now)));
         self.recent.retain(|_, at| now.saturating_duration_since(*at) <= cluster::MEMBER_RETENTION);
     }
 
--- a/crates/basilhaven/src/gateway/cluster/datagram.rs
+++ b/crates/basilhaven/src/gateway/cluster/datagram.rs
@@ -7,6 +7,7 @@
 use monoio::net::udp::UdpSocket;
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::cluster::reach;
 use crate::gateway::{cluster, moves, store, updates};
 
 /// Interval of heartbeats, in a small and in a large cluster.
@@ -100,20 +101,29 @@
     }
 }
 
-/// Encodes a frame, followed by the eras of the steps in it: builds without eras ignore what
-/// follows a frame.
+/// Announces a change of this host: to all live hosts, or in a large cluster to some, which forward
+/// it.
+pub async fn announce(replica: &updates::Replica, socket: &UdpSocket) {
+    match replica.members.is_large_cluster() {
+        true => send_heartbeat(replica, socket).await,
+        false => broadcast(replica, socket).await,
+    }
+}
+
+/// Encodes a frame, followed by the eras of the steps and the reach of the hosts in it: earlier
+/// builds ignore what follows a frame.
 ///
 /// # Errors
 ///
 /// Returns an error if the frame cannot be serialized.
 pub fn encode(frame: &Frame) -> Result<Vec<u8>, postcard::Error> {
     let mut bytes = postcard::to_stdvec(frame)?;
-    if let Frame::Heartbeats(_, steps) = frame {
+    if let Frame::Heartbeats(heartbeats, steps) = frame {
         let eras: Vec<(store::Era, store::Era)> =
             steps.iter().map(|step| (step.order.era, step.revision.era)).collect();
-        if !eras.is_empty() {
-            bytes.extend(postcard::to_stdvec(&eras)?);
-        }
+        let reaches: Vec<reach::Reach> = heartbeats.iter().map(|h| h.reach).collect();
+        bytes.extend(postcard::to_stdvec(&eras)?);
+        bytes.extend(postcard::to_stdvec(&reaches)?);
     }
     Ok(bytes)
 }
@@ -126,8 +136,16 @@
 pub fn decode(bytes: &[u8]) -> Result<(Frame, bool), postcard::Error> {
     let (mut frame, rest) = postcard::take_from_bytes::<Frame>(bytes)?;
     let has_eras = !rest.is_empty();
-    if let (Frame::Heartbeats(_, steps), true) = (&mut frame, has_eras) {
-        let eras: Vec<(store::Era, store::Era)> = postcard::from_bytes(rest)?;
+    if let (Frame::Heartbeats(heartbeats, steps), true) = (&mut frame, has_eras) {
+        let (eras, rest) = postcard::take_from_bytes::<Vec<(store::Era, store::Era)>>(rest)?;
+        // The build that introduced eras appends nothing else.
+        let reaches: Vec<reach::Reach> = match rest {
+            [] => Vec::new(),
+            rest => postcard::from_bytes(rest)?,
+        };
+        for (heartbeat, reach) in heartbeats.iter_mut().zip(reaches) {
+            heartbeat.reach = reach;
+        }
         for (step, (order, revision)) in steps.iter_mut().zip(eras) {
             step.order.era = order;
             step.revision.era = revision;
--- /dev/null
+++ b/crates/basilhaven/src/gateway/forward.rs
@@ -0,0 +1,398 @@
+//! Passes calls that this host cannot place to another host, which places them.
+//!
+//! The other host receives the caller's request on a connection between hosts, with the [`Terms`]
+//! in header fields of its own, and never passes it on. Its response tells in [`RESULT`] whether
+//! the response is an upstream's, or whether the call has not run.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::{self, Either};
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use indexmap::IndexMap;
+
+use super::{attempt, cluster, notify, protocol, relay};
+use crate::http1::{self, body, head};
+use crate::profile;
+
+/// On requests: the service that takes the call.
+const SERVICE: HeaderName = HeaderName::from_static("basilhaven-service");
+
+/// On requests: the version of the sender's configuration.
+const VERSION: HeaderName = HeaderName::from_static("basilhaven-config-version");
+
+/// On requests: attempts that are left.
+const ATTEMPTS: HeaderName = HeaderName::from_static("basilhaven-attempts");
+
+/// On requests: milliseconds since the call arrived at the sender.
+const ELAPSED_MS: HeaderName = HeaderName::from_static("basilhaven-elapsed-ms");
+
+/// On requests: ids of the upstreams that have been tried, separated by spaces. On a request that
+/// has it, the call was sent to an upstream before.
+const TRIED: HeaderName = HeaderName::from_static("basilhaven-tried");
+
+/// On responses: how the call has ended, see [`Ending`].
+const RESULT: HeaderName = HeaderName::from_static("basilhaven-result");
+
+/// On responses: the attempts that were made.
+const SENDS: HeaderName = HeaderName::from_static("basilhaven-sends");
+
+const FIELDS: [HeaderName; 5] = [SERVICE, VERSION, ATTEMPTS, ELAPSED_MS, TRIED];
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Maximum idle time of a connection that is reused. A connection that has gone silent would cost a
+/// call that may not be repeated.
+const MAX_IDLE: Duration = Duration::from_secs(4);
+const MAX_IDLE_AT_MOST_ONCE: Duration = Duration::from_millis(500);
+
+/// The most idle connections to one host.
+const MAX_IDLE_CONNS: usize = 16;
+
+/// How long a host that has not taken a call is passed over.
+const AVOID_TIME: Duration = Duration::from_millis(500);
+
+/// The calls in progress at a host that another host may have more before it is passed over for the
+/// other one: for one in another data centre, and for one that is not advertised.
+const REMOTE_PENALTY: u32 = 2;
+const UNADVERTISED_PENALTY: u32 = 8;
+
+/// What a host needs to know of a call that another host passes to it, besides the request.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use basilhaven::gateway::forward;
+///
+/// let terms = forward::Terms {
+///     service: "catalogo".into(),
+///     version: 7,
+///     attempts: 2,
+///     elapsed: Duration::from_millis(30),
+///     tried: vec!["i-1".into()],
+/// };
+/// let mut headers = http::HeaderMap::new();
+/// terms.write(&mut headers);
+/// assert_eq!(forward::Terms::try_from(&headers), Ok(terms));
+/// assert!(forward::Terms::try_from(&http::HeaderMap::new()).is_err());
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Terms {
+    /// The service that takes the call.
+    pub service: Rc<str>,
+    /// The version of the configuration by which the service was chosen.
+    pub version: u64,
+    /// The attempts that are left.
+    pub attempts: u32,
+    /// The time since the call arrived at the first host.
+    pub elapsed: Duration,
+    /// Ids of the upstreams that the call was sent to.
+    pub tried: Vec<Rc<str>>,
+}
+
+/// Why the terms of a call are invalid.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("header field {field} is missing or invalid")]
+pub struct Error {
+    field: HeaderName,
+}
+
+impl Terms {
+    /// Adds the header fields of these terms.
+    pub fn write(&self, headers: &mut HeaderMap) {
+        let text = |text: &str| HeaderValue::from_str(text).ok();
+        if let Some(service) = text(&self.service) {
+            headers.insert(SERVICE, service);
+        }
+        headers.insert(VERSION, HeaderValue::from(self.version));
+        headers.insert(ATTEMPTS, HeaderValue::from(self.attempts));
+        headers.insert(ELAPSED_MS, HeaderValue::from(self.elapsed.as_millis() as u64));
+        match text(&self.tried.join(" ")) {
+            Some(tried) if !self.tried.is_empty() => headers.insert(TRIED, tried),
+            _ => headers.remove(TRIED),
+        };
+    }
+
+    /// Returns whether the call was sent to an upstream before.
+    pub fn is_retry(&self) -> bool {
+        !self.tried.is_empty()
+    }
+}
+
+impl TryFrom<&HeaderMap> for Terms {
+    type Error = Error;
+
+    fn try_from(headers: &HeaderMap) -> Result<Terms, Error> {
+        let text = |field: HeaderName| {
+            let value = headers.get(&field).and_then(|value| value.to_str().ok());
+            value.ok_or(Error { field })
+        };
+        let number = |field: HeaderName| {
+            text(field.clone())?.parse::<u64>().map_err(|_| Error { field: field.clone() })
+        };
+        let attempts = number(ATTEMPTS)?;
+        Ok(Terms {
+            service: text(SERVICE)?.into(),
+            version: number(VERSION)?,
+            attempts: u32::try_from(attempts).map_err(|_| Error { field: ATTEMPTS })?,
+            elapsed: Duration::from_millis(number(ELAPSED_MS)?),
+            tried: text(TRIED).unwrap_or_default().split_whitespace().map(Rc::from).collect(),
+        })
+    }
+}
+
+/// Removes the header fields of terms from a request.
+pub fn remove_terms(headers: &mut HeaderMap) {
+    FIELDS.iter().for_each(|field| {
+        headers.remove(field);
+    });
+}
+
+/// How a call has ended at the host that it was passed to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum Ending {
+    /// The response is an upstream's.
+    #[display("answered")]
+    Answered,
+    /// The call has not run after so many attempts, and will not run.
+    #[display("not-run")]
+    NotRun {
+        /// The attempts that were made.
+        sends: u32,
+    },
+    /// The call may have run.
+    #[display("unknown")]
+    Unknown,
+}
+
+impl Ending {
+    /// Adds the header fields that tell this ending.
+    pub fn write(self, headers: &mut HeaderMap) {
+        let result = HeaderValue::from_str(&self.to_string()).expect("letters and dashes");
+        headers.insert(RESULT, result);
+        if let Ending::NotRun { sends } = self {
+            headers.insert(SENDS, HeaderValue::from(sends));
+        }
+    }
+
+    /// Returns the ending that a response tells, and removes its header fields. A response without
+    /// them leaves it unknown whether the call has run.
+    fn take(headers: &mut HeaderMap) -> Ending {
+        let sends = headers.remove(SENDS);
+        let sends = sends.and_then(|value| value.to_str().ok()?.parse().ok());
+        let result = headers.remove(RESULT);
+        match (result.as_ref().map(HeaderValue::as_bytes), sends) {
+            (Some(b"answered"), _) => Ending::Answered,
+            (Some(b"not-run"), Some(sends)) => Ending::NotRun { sends },
+            _ => Ending::Unknown,
+        }
+    }
+}
+
+/// The result of passing on a call.
+#[derive(Debug)]
+pub enum Outcome {
+    /// The response of an upstream.
+    Answered(attempt::Response),
+    /// The call has not run and will not run.
+    NotRun {
+        /// When the caller may retry, if the other host has told.
+        retry_after: Option<Duration>,
+        /// The attempts that the other host has made.
+        sends: u32,
+    },
+    /// The call may have run, or may still run.
+    Unknown(http::StatusCode),
+}
+
+/// A host to which calls are passed.
+#[derive(Debug, Default)]
+struct Peer {
+    idle: RefCell<Vec<(http1::Conn, Instant)>>,
+    /// Calls in progress there.
+    in_progress: Cell<u32>,
+    avoided_until: Cell<Option<Instant>>,
+}
+
+/// Counts a call as in progress at a host until it is dropped.
+struct Progress(Rc<Peer>);
+
+impl Progress {
+    fn new(peer: &Rc<Peer>) -> Progress {
+        peer.in_progress.set(peer.in_progress.get() + 1);
+        Progress(Rc::clone(peer))
+    }
+}
+
+impl Drop for Progress {
+    fn drop(&mut self) {
+        self.0.in_progress.set(self.0.in_progress.get() - 1);
+    }
+}
+
+/// Passes calls to other hosts.
+#[derive(Debug)]
+pub struct Forwarder {
+    protocol: protocol::Protocol,
+    members: Rc<cluster::Members>,
+    peers: RefCell<IndexMap<SocketAddr, Rc<Peer>>>,
+}
+
+impl Forwarder {
+    /// Creates a forwarder to the hosts among `members`.
+    pub fn new(protocol: protocol::Protocol, members: Rc<cluster::Members>) -> Forwarder {
+        Forwarder { protocol, members, peers: RefCell::default() }
+    }
+
+    /// Chooses the host that takes the next call of a service; `None` if no other host reaches the
+    /// service.
+    ///
+    /// Answers load of which a large share arrives at hosts that cannot place it: each passes its
+    /// calls to the host at which it has the fewest in progress, so that a host without room gets
+    /// fewer. A host in the same data centre is preferred, because bytes between data centres are
+    /// priced.
+    pub fn choose(&self, service: &str, now: Instant) -> Option<SocketAddr> {
+        let mut candidates = self.members.hosts_reaching(service, now);
+        let peers = self.peers.borrow();
+        let is_avoided = |peer: &Rc<Peer>| peer.avoided_until.get().is_some_and(|at| now < at);
+        candidates.retain(|candidate| !peers.get(&candidate.peer).is_some_and(is_avoided));
+        fastrand::shuffle(&mut candidates);
+        let load = |candidate: &cluster::Candidate| {
+            let in_progress = peers.get(&candidate.peer).map_or(0, |peer| peer.in_progress.get());
+            let remote = if candidate.is_local { 0 } else { REMOTE_PENALTY };
+            let unadvertised = if candidate.is_advertised { 0 } else { UNADVERTISED_PENALTY };
+            in_progress + remote + unadvertised
+        };
+        candidates.iter().min_by_key(|candidate| load(candidate)).map(|candidate| candidate.peer)
+    }
+
+    /// Passes a call to a host, and waits for its response until the call's deadline or until
+    /// `caller_left` is notified. The connection is then closed, which tells the other host.
+    pub async fn send(
+        &self,
+        call: &attempt::Call,
+        terms: &Terms,
+        host: SocketAddr,
+        caller_left: &notify::Notifier,
+    ) -> Outcome {
+        let peer = Rc::clone(self.peers.borrow_mut().entry(host).or_default());
+        let _progress = Progress::new(&peer);
+        let sent = {
+            let exchange = std::pin::pin!(attempt::timeout_at(
+                call.deadline,
+                self.exchange(call, terms, host, &peer),
+            ));
+            let left = std::pin::pin!(caller_left.wait(0));
+            match future::select(exchange, left).await {
+                Either::Left((sent, _)) => sent,
+                Either::Right(_) => return Outcome::Unknown(http::StatusCode::BAD_GATEWAY),
+            }
+        };
+        let outcome = match sent {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(error)) => {
+                tracing::info!(event = "host_not_answering", %host, %error);
+                Outcome::Unknown(http::StatusCode::BAD_GATEWAY)
+            }
+            Err(_) => Outcome::Unknown(http::StatusCode::GATEWAY_TIMEOUT),
+        };
+        if !matches!(outcome, Outcome::Answered(_)) {
+            peer.avoided_until.set(Some(Instant::now() + AVOID_TIME));
+        }
+        outcome
+    }
+
+    async fn exchange(
+        &self,
+        call: &attempt::Call,
+        terms: &Terms,
+        host: SocketAddr,
+        peer: &Peer,
+    ) -> Result<Outcome, http1::Error> {
+        let mut conn = match connect(call, host, peer).await {
+            Ok(conn) => conn,
+            Err(error) => {
+                tracing::info!(event = "host_not_reached", %host, %error);
+                return Ok(Outcome::NotRun { retry_after: None, sends: 0 });
+            }
+        };
+        let remaining = call.deadline.saturating_duration_since(Instant::now());
+        let mut headers = call.parts.headers.clone();
+        let deadline = HeaderValue::from(remaining.as_millis() as u64);
+        headers.insert(self.protocol.headers.deadline_ms.clone(), deadline);
+        terms.write(&mut headers);
+        conn.write(attempt::encode_request(call, &headers)).await?;
+        let mut response = conn.read_response(&call.parts.method, attempt::MAX_HEAD_LEN).await?;
+        let mut reader = body::Reader::new(response.framing);
+        let body = attempt::buffer_body(&mut conn, &mut reader).await?;
+        let ending = Ending::take(&mut response.parts.headers);
+        let mut remainder = None;
+        if !reader.is_done() {
+            let (framing, deadline) = (response.framing, call.deadline);
+            remainder = Some(Box::new(attempt::Remainder { conn, reader, framing, deadline }));
+        } else if response.allows_reuse() && !conn.has_buffered() {
+            peer.put_conn(conn, Instant::now());
+        }
+        let status = response.parts.status;
+        Ok(match ending {
+            Ending::Answered => {
+                let mut headers = response.parts.headers;
+                head::remove_hop_by_hop(&mut headers);
+                Outcome::Answered(attempt::Response { status, headers, body, remainder })
+            }
+            Ending::NotRun { sends } => {
+                let retry_after = response.parts.headers.get(header::RETRY_AFTER);
+                let seconds = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
+                let retry_after = seconds.and_then(|s| Duration::try_from_secs_f64(s).ok());
+                Outcome::NotRun { retry_after, sends }
+            }
+            Ending::Unknown if status.is_server_error() => Outcome::Unknown(status),
+            Ending::Unknown => Outcome::Unknown(http::StatusCode::BAD_GATEWAY),
+        })
+    }
+}
+
+impl Peer {
+    fn take_conn(&self, now: Instant, max_idle: Duration) -> Option<http1::Conn> {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|(_, since)| now.saturating_duration_since(*since) < MAX_IDLE);
+        while let Some((conn, since)) = idle.pop() {
+            if now.saturating_duration_since(since) > max_idle {
+                idle.push((conn, since));
+                return None;
+            }
+            if conn.is_idle() {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    fn put_conn(&self, conn: http1::Conn, now: Instant) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() >= MAX_IDLE_CONNS {
+            idle.remove(0);
+        }
+        idle.push((conn.without_buffer(), now));
+    }
+}
+
+async fn connect(
+    call: &attempt::Call,
+    host: SocketAddr,
+    peer: &Peer,
+) -> std::io::Result<http1::Conn> {
+    let max_idle = match call.idempotency {
+        profile::Idempotency::Idempotent => MAX_IDLE,
+        profile::Idempotency::AtMostOnce => MAX_IDLE_AT_MOST_ONCE,
+    };
+    if let Some(conn) = peer.take_conn(Instant::now(), max_idle) {
+        return Ok(conn);
+    }
+    let mut conn = http1::Conn::open(host, CONNECT_TIMEOUT).await?;
+    conn.write(relay::encode_calls()?).await?;
+    Ok(conn)
+}
--- a/crates/basilhaven/src/gateway/frontend.rs
+++ b/crates/basilhaven/src/gateway/frontend.rs
@@ -9,7 +9,7 @@
 use http::header::{self, HeaderMap, HeaderValue};
 use monoio::net::{TcpListener, TcpStream};
 
-use super::{attempt, balancer, cluster, config, notify, protocol, retries, route};
+use super::{attempt, balancer, cluster, config, forward, notify, protocol, retries, route};
 use crate::http1::{self, body, head};
 use crate::profile;
 
@@ -41,6 +41,8 @@
     pub config: Rc<config::Config>,
     /// Chooses the upstream of each attempt.
     pub balancer: balancer::Balancer,
+    /// Passes calls that this host cannot place to other hosts.
+    pub forwarder: forward::Forwarder,
     /// The hosts of the system, as this host sees them.
     pub members: Rc<cluster::Members>,
     /// Header names and encodings that callers and upstreams use.
@@ -75,18 +77,20 @@
     Abort,
 }
 
+/// Where a request comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// A caller.
+    Caller,
+    /// Another host, which [passes on](forward) calls of its callers.
+    Host,
+}
+
 /// Accepts callers' connections and serves each in its own task.
 pub async fn accept(frontend: Rc<Frontend>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                frontend.open_connections.set(frontend.open_connections.get() + 1);
-                let frontend = Rc::clone(&frontend);
-                monoio::spawn(async move {
-                    handle_connection(&frontend, stream).await;
-                    frontend.open_connections.set(frontend.open_connections.get() - 1);
-                });
-            }
+            Ok((stream, _)) => spawn_connection(&frontend, stream, Source::Caller),
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error);
                 monoio::time::sleep(ACCEPT_BACKOFF).await;
@@ -95,7 +99,21 @@
     }
 }
 
-async fn handle_connection(frontend: &Frontend, stream: TcpStream) {
+/// Serves the calls that another host passes on, in a task of its own.
+pub fn serve_host(frontend: &Rc<Frontend>, stream: TcpStream) {
+    spawn_connection(frontend, stream, Source::Host);
+}
+
+fn spawn_connection(frontend: &Rc<Frontend>, stream: TcpStream, source: Source) {
+    frontend.open_connections.set(frontend.open_connections.get() + 1);
+    let frontend = Rc::clone(frontend);
+    monoio::spawn(async move {
+        handle_connection(&frontend, stream, source).await;
+        frontend.open_connections.set(frontend.open_connections.get() - 1);
+    });
+}
+
+async fn handle_connection(frontend: &Frontend, stream: TcpStream, source: Source) {
     let mut conn = match http1::Conn::new(stream) {
         Ok(conn) => conn,
         Err(error) => {
@@ -103,7 +121,7 @@
             return;
         }
     };
-    match serve_requests(frontend, &mut conn).await {
+    match serve_requests(frontend, &mut conn, source).await {
         Ok(Persistence::Reuse | Persistence::Close) => conn.linger(LINGER_TIMEOUT).await,
         Ok(Persistence::Abort) => conn.reset_on_close(),
         Err(error) => tracing::debug!(event = "connection_lost", %error),
@@ -114,6 +132,7 @@
 async fn serve_requests(
     frontend: &Frontend,
     conn: &mut http1::Conn,
+    source: Source,
 ) -> Result<Persistence, http1::Error> {
     loop {
         let limits = frontend.config.limits();
@@ -129,7 +148,7 @@
             Err(_) => return Ok(Persistence::Abort),
         };
         frontend.active_calls.set(frontend.active_calls.get() + 1);
-        let persistence = serve_request(frontend, conn, request, &limits).await;
+        let persistence = serve_request(frontend, conn, request, &limits, source).await;
         frontend.active_calls.set(frontend.active_calls.get() - 1);
         match persistence? {
             Persistence::Reuse => {}
@@ -170,8 +189,9 @@
 async fn serve_request(
     frontend: &Frontend,
     conn: &mut http1::Conn,
-    request: head::Request,
+    mut request: head::Request,
     limits: &route::Limits,
+    source: Source,
 ) -> Result<Persistence, http1::Error> {
     let started = Instant::now();
     let keeps_alive = head::keeps_alive(request.parts.version, &request.parts.headers);
@@ -200,7 +220,14 @@
     };
     let Some(table) = frontend.config.table() else {
         tracing::info!(event = "not_configured");
-        return send_unavailable(conn, attempts::RETRY_AFTER, persistence()).await;
+        return deliver(conn, attempts::Reply::REFUSED, persistence(), source).await;
+    };
+    let terms = match source {
+        Source::Caller => None,
+        Source::Host => match take_terms(&mut request, &table) {
+            Some(terms) => Some(terms),
+            None => return deliver(conn, attempts::Reply::REFUSED, persistence(), source).await,
+        },
     };
     let host = head::host(&request.parts).unwrap_or_default();
     let Some(route) = table.find(host, request.parts.uri.path()).cloned() else {
@@ -217,16 +244,17 @@
     let call = build_call(frontend, request, body, &route, started);
     if frontend.exit_at.get().is_some_and(|end| call.deadline + RESPONSE_MARGIN > end) {
         tracing::info!(event = "stopping_too_soon", id = call.id_text(), route = &*route.name);
-        return send_unavailable(conn, attempts::RETRY_AFTER, Persistence::Close).await;
+        return deliver(conn, attempts::Reply::REFUSED, Persistence::Close, source).await;
     }
-    let caller_left = Cell::new(false);
+    let task = attempts::Task { route: &route, call: &call, terms };
+    let caller_left = notify::Notifier::default();
     let reply = {
-        let run = std::pin::pin!(attempts::run(frontend, &table, &route, &call, &caller_left));
+        let run = std::pin::pin!(attempts::run(frontend, &table, task, &caller_left));
         let closed = std::pin::pin!(conn.closed());
         match future::select(run, closed).await {
             Either::Left((reply, _)) => reply,
             Either::Right(((), run)) => {
-                caller_left.set(true);
+                caller_left.notify();
                 // An at-most-once call is not cancelled part-way: it runs to its end without a
                 // caller.
                 if call.idempotency == profile::Idempotency::AtMostOnce {
@@ -239,7 +267,25 @@
     };
     log_unanswered(&call, &route, &reply, started);
     // Computed again: the host may have begun to stop while the call ran.
-    deliver(conn, reply, persistence()).await
+    deliver(conn, reply, persistence(), source).await
+}
+
+/// Takes the terms of a call that another host passes on from its request; `None` if this host must
+/// not place the call, because it has an older configuration.
+fn take_terms(request: &mut head::Request, table: &route::Table) -> Option<forward::Terms> {
+    let terms = forward::Terms::try_from(&request.parts.headers);
+    forward::remove_terms(&mut request.parts.headers);
+    match terms {
+        Ok(terms) if terms.version <= table.version => Some(terms),
+        Ok(terms) => {
+            tracing::info!(event = "configuration_behind", version = table.version, terms.version);
+            None
+        }
+        Err(error) => {
+            tracing::warn!(event = "terms_unreadable", %error);
+            None
+        }
+    }
 }
 
 /// Reads the request body; returns `None` if it exceeds the configured limit.
@@ -299,7 +345,7 @@
 ) {
     let status = match reply {
         attempts::Reply::Response(_) => return,
-        attempts::Reply::NotRun(_) => http::StatusCode::SERVICE_UNAVAILABLE,
+        attempts::Reply::NotRun { .. } => http::StatusCode::SERVICE_UNAVAILABLE,
         attempts::Reply::Unknown(status) => *status,
     };
     metrics::counter!("basilhaven_unanswered_total", "status" => status.as_u16().to_string())
@@ -317,35 +363,30 @@
     conn: &mut http1::Conn,
     reply: attempts::Reply,
     persistence: Persistence,
+    source: Source,
 ) -> Result<Persistence, http1::Error> {
-    match reply {
-        attempts::Reply::NotRun(after) => send_unavailable(conn, after, persistence).await,
-        attempts::Reply::Unknown(status) => {
-            send_response(conn, status, &HeaderMap::new(), Bytes::new(), persistence).await
+    let ending = reply.ending();
+    let (status, mut headers, body, remainder) = match reply {
+        attempts::Reply::NotRun { retry_after, .. } => {
+            let mut headers = HeaderMap::new();
+            let after = format!("{:.3}", retry_after.as_secs_f64());
+            headers.insert(header::RETRY_AFTER, HeaderValue::from_str(&after).expect("a number"));
+            (http::StatusCode::SERVICE_UNAVAILABLE, headers, Bytes::new(), None)
+        }
+        attempts::Reply::Unknown(status) => (status, HeaderMap::new(), Bytes::new(), None),
+        attempts::Reply::Response(response) => {
+            (response.status, response.headers, response.body, response.remainder)
+        }
+    };
+    if source == Source::Host {
+        ending.write(&mut headers);
+    }
+    match remainder {
+        None => send_response(conn, status, &headers, body, persistence).await,
+        Some(remainder) => {
+            stream_response(conn, (status, headers), body, remainder, persistence).await
         }
-        attempts::Reply::Response(response) => match response.remainder {
-            None => {
-                send_response(conn, response.status, &response.headers, response.body, persistence)
-                    .await
-            }
-            Some(remainder) => {
-                let head = (response.status, response.headers);
-                stream_response(conn, head, response.body, remainder, persistence).await
-            }
-        },
     }
-}
-
-async fn send_unavailable(
-    conn: &mut http1::Conn,
-    after: Duration,
-    persistence: Persistence,
-) -> Result<Persistence, http1::Error> {
-    let mut headers = HeaderMap::new();
-    let after = format!("{:.3}", after.as_secs_f64());
-    headers.insert(header::RETRY_AFTER, HeaderValue::from_str(&after).expect("a number"));
-    send_response(conn, http::StatusCode::SERVICE_UNAVAILABLE, &headers, Bytes::new(), persistence)
-        .await
 }
 
 /// Sends a response whose whole body is in memory.
--- a/crates/basilhaven/src/gateway/probe.rs
+++ b/crates/basilhaven/src/gateway/probe.rs
@@ -77,15 +77,23 @@
         let now = Instant::now();
         metrics::counter!("basilhaven_probes_total").increment(1);
         match result {
-            Ok(Ok(head)) => self.record(upstream, &head, now),
+            Ok(Ok(head)) => {
+                upstream.contact.record_response(now);
+                self.record(upstream, &head, now);
+            }
             Ok(Err(error)) => {
                 tracing::debug!(event = "probe_failed", upstream = &*upstream.id, %error);
+                upstream.record_error(&error, now);
                 upstream.record_failure(now, FAILURE_WEIGHT);
             }
             Err(_) => {
                 tracing::debug!(event = "probe_timed_out", upstream = &*upstream.id);
                 // The idle connections may be dead although new ones work.
                 upstream.close_all_idle();
+                // An upstream that reports no load may respond only once a slot is free.
+                if upstream.report().is_some() {
+                    upstream.contact.record_silence(now);
+                }
                 upstream.record_failure(now, FAILURE_WEIGHT);
             }
         }
--- a/crates/basilhaven/src/gateway/registry.rs
+++ b/crates/basilhaven/src/gateway/registry.rs
@@ -232,6 +232,21 @@
         upstreams.values().filter(|u| &*u.entry().service == service).cloned().collect()
     }
 
+    /// Returns the upstreams that may take calls, by service.
+    pub fn eligible_by_service(
+        &self,
+        now: Instant,
+    ) -> IndexMap<Rc<str>, Vec<Rc<upstream::Upstream>>> {
+        let mut by_service: IndexMap<Rc<str>, Vec<Rc<upstream::Upstream>>> = IndexMap::new();
+        for upstream in self.upstreams.borrow().values() {
+            if self.is_eligible(upstream, now) {
+                let service = Rc::clone(&upstream.entry().service);
+                by_service.entry(service).or_default().push(Rc::clone(upstream));
+            }
+        }
+        by_service
+    }
+
     /// Returns the total slots of the upstreams that are not removed, whether or not they may take
     /// calls.
     pub fn total_slots(&self, now: Instant) -> usize {
--- a/crates/basilhaven/src/gateway/relay.rs
+++ b/crates/basilhaven/src/gateway/relay.rs
@@ -4,12 +4,15 @@
 //! follower first sends the revision up to which it knows each feed; from then on it receives
 //! changes, and for each feed the staleness: how long ago the sender last knew that it had all
 //! changes.
+//!
+//! The same port takes the connections on which hosts [pass on](super::forward) calls.
 
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use monoio::io::{AsyncReadRent, AsyncReadRentExt as _, AsyncWriteRentExt as _};
 use monoio::net::{TcpListener, TcpStream};
 use serde::{Deserialize, Serialize};
@@ -53,6 +56,8 @@
     },
     /// How long ago the store was last known to have nothing newer, by feed, in milliseconds.
     Staleness([u32; FEEDS.len()]),
+    /// The first message of a connection that carries calls; HTTP/1.1 requests follow.
+    Calls,
 }
 
 /// The eras of a message, which are appended to it: builds without eras ignore what follows a
@@ -97,14 +102,18 @@
     }
 }
 
-/// Serves the hosts that follow this one.
-pub async fn serve(replica: Rc<updates::Replica>, listener: TcpListener) {
+/// Serves the hosts that follow this one, and hands connections that carry calls to `serve_calls`.
+pub async fn serve<F>(replica: Rc<updates::Replica>, listener: TcpListener, serve_calls: F)
+where
+    F: Fn(TcpStream) + 'static,
+{
+    let serve_calls = Rc::new(serve_calls);
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
-                let replica = Rc::clone(&replica);
+                let (replica, serve_calls) = (Rc::clone(&replica), Rc::clone(&serve_calls));
                 monoio::spawn(async move {
-                    if let Err(error) = stream_updates(&replica, stream).await {
+                    if let Err(error) = serve_host(&replica, stream, &*serve_calls).await {
                         tracing::debug!(event = "follower_lost", %from, %error);
                     }
                 });
@@ -117,12 +126,33 @@
     }
 }
 
-async fn stream_updates(replica: &updates::Replica, mut stream: TcpStream) -> io::Result<()> {
+async fn serve_host<F>(
+    replica: &updates::Replica,
+    mut stream: TcpStream,
+    serve_calls: &F,
+) -> io::Result<()>
+where
+    F: Fn(TcpStream),
+{
     stream.set_nodelay(true)?;
-    let (Message::Known(mut known), eras) = with_timeout(IO_TIMEOUT, read(&mut stream)).await?
-    else {
-        return Err(io::Error::other("the first message of a follower is not its known revisions"));
-    };
+    match with_timeout(IO_TIMEOUT, read(&mut stream)).await? {
+        (Message::Known(known), eras) => stream_updates(replica, stream, known, eras).await,
+        (Message::Calls, _) => {
+            serve_calls(stream);
+            Ok(())
+        }
+        (Message::Update { .. } | Message::Staleness(_), _) => Err(io::Error::other(
+            "the first message of a host is neither its revisions nor `Calls`",
+        )),
+    }
+}
+
+async fn stream_updates(
+    replica: &updates::Replica,
+    mut stream: TcpStream,
+    mut known: [store::Revision; FEEDS.len()],
+    eras: Option<Eras>,
+) -> io::Result<()> {
     for (feed, (number, known)) in FEEDS.into_iter().zip(known.iter_mut().enumerate()) {
         // A follower that knows no eras is assumed to be in the present one.
         let own = replica.journal(feed).revision().era;
@@ -224,7 +254,9 @@
                     return Ok(());
                 }
             }
-            Message::Known(_) => return Err(io::Error::other("unexpected message")),
+            Message::Known(_) | Message::Calls => {
+                return Err(io::Error::other("unexpected message"))
+            }
         }
     }
 }
@@ -239,7 +271,20 @@
     }
 }
 
+/// Encodes the first message of a connection that carries calls.
+///
+/// # Errors
+///
+/// Returns an error if the message cannot be serialized.
+pub fn encode_calls() -> io::Result<Bytes> {
+    encode(&Message::Calls, None).map(Bytes::from)
+}
+
 async fn write(stream: &mut TcpStream, message: &Message, eras: Option<&Eras>) -> io::Result<()> {
+    stream.write_all(encode(message, eras)?).await.0.map(|_| ())
+}
+
+fn encode(message: &Message, eras: Option<&Eras>) -> io::Result<Vec<u8>> {
     let mut body = postcard::to_stdvec(message).map_err(io::Error::other)?;
     if let Some(eras) = eras {
         body.extend(postcard::to_stdvec(eras).map_err(io::Error::other)?);
@@ -247,7 +292,7 @@
     let mut bytes = Vec::with_capacity(body.len() + 4);
     bytes.extend_from_slice(&(body.len() as u32).to_le_bytes());
     bytes.extend_from_slice(&body);
-    stream.write_all(bytes).await.0.map(|_| ())
+    Ok(bytes)
 }
 
 async fn read<R>(stream: &mut R) -> io::Result<(Message, Option<Eras>)>
--- a/crates/basilhaven/src/gateway/retries.rs
+++ b/crates/basilhaven/src/gateway/retries.rs
@@ -71,6 +71,13 @@
         self.state.borrow_mut().slices[0].0 += 1;
     }
 
+    /// Withdraws a recorded call, because another host sends it.
+    pub fn withdraw_call(&self, now: Instant) {
+        self.advance(now);
+        let mut state = self.state.borrow_mut();
+        state.slices[0].0 = state.slices[0].0.saturating_sub(1);
+    }
+
     /// Spends one retry if the allowance of the window permits it; returns whether it does.
     pub fn try_spend(&self, now: Instant, allowance: Allowance) -> bool {
         self.advance(now);
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -14,8 +14,8 @@
 
 use super::cluster::datagram;
 use super::{
-    balancer, cluster, coordinator, directory, frontend, probe, protocol, registry, relay, retries,
-    settings, store, updates,
+    balancer, cluster, coordinator, directory, forward, frontend, probe, protocol, reach, registry,
+    relay, retries, settings, store, updates,
 };
 use crate::{daemon, finding, log};
 
@@ -138,12 +138,20 @@
     let replica = Rc::new(updates::Replica::new(Rc::clone(&members), settings.is_first_start));
     replica.moves.set_exposure(settings.exposure_share);
     replica.registry.set_heartbeat_interval(settings.heartbeat);
-    let frontend = build_frontend(&settings, store.protocol(), &replica);
+    let protocol = store.protocol();
+    let members_of_prober = Rc::clone(&replica.members);
+    let prober =
+        Rc::new(probe::Prober::new(protocol.clone(), settings.probe_rate, members_of_prober));
+    let services = Rc::new(reach::Services::default());
+    let frontend = build_frontend(&settings, protocol, &replica, &prober, &services);
     let peer = Rc::new(sockets.peer);
     monoio::spawn(datagram::receive(Rc::clone(&replica), Rc::clone(&peer)));
     monoio::spawn(datagram::gossip(Rc::clone(&replica), Rc::clone(&peer)));
     monoio::spawn(updates::run(Rc::clone(&store), Rc::clone(&replica)));
-    monoio::spawn(relay::serve(Rc::clone(&replica), sockets.relay));
+    let for_hosts = Rc::clone(&frontend);
+    let serve_calls = move |stream| frontend::serve_host(&for_hosts, stream);
+    monoio::spawn(relay::serve(Rc::clone(&replica), sockets.relay, serve_calls));
+    monoio::spawn(reach::run(Rc::clone(&replica), services, prober, Rc::clone(&peer)));
     monoio::spawn(register(Rc::clone(&store), record, Rc::clone(&replica)));
     monoio::spawn(coordinator::run(Rc::clone(&store), Rc::clone(&replica), Rc::clone(&peer)));
     monoio::spawn(tidy(Rc::clone(&replica.registry), Rc::clone(&replica.members)));
@@ -164,21 +172,22 @@
     settings: &settings::Settings,
     protocol: protocol::Protocol,
     replica: &updates::Replica,
+    prober: &Rc<probe::Prober>,
+    services: &Rc<reach::Services>,
 ) -> Rc<frontend::Frontend> {
     let balancer = balancer::Balancer::new(
         Rc::clone(&settings.data_centre),
         Rc::clone(&replica.registry),
         Rc::clone(&replica.members),
         Rc::clone(&replica.moves),
-        Rc::new(probe::Prober::new(
-            protocol.clone(),
-            settings.probe_rate,
-            Rc::clone(&replica.members),
-        )),
+        Rc::clone(prober),
+        Rc::clone(services),
     );
+    let forwarder = forward::Forwarder::new(protocol.clone(), Rc::clone(&replica.members));
     Rc::new(frontend::Frontend {
         config: Rc::clone(&replica.config),
         balancer,
+        forwarder,
         members: Rc::clone(&replica.members),
         protocol,
         retries: retries::Allowance { ratio: settings.retry_ratio, slack: settings.retry_slack },
--- a/crates/basilhaven/src/gateway/upstream.rs
+++ b/crates/basilhaven/src/gateway/upstream.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{limit, notify, probe, protocol, warmup};
+use super::{contact, limit, notify, probe, protocol, warmup};
 use crate::{budget, http1};
 
 /// How long a connection is kept idle if the upstream gives no keep-alive time.
@@ -92,6 +92,8 @@
     sent_since_report: Cell<u32>,
     pub(super) warmup: warmup::Warmup,
     pub(super) limit: limit::Limit,
+    /// Whether the upstream responds to this host.
+    pub contact: contact::Contact,
     idle: RefCell<Vec<Idle>>,
     pub(super) is_probe_pending: Cell<bool>,
     /// Probes that this host may send; see [`Prober`](probe::Prober).
@@ -115,6 +117,7 @@
             sent_since_report: Cell::default(),
             warmup: warmup::Warmup::default(),
             limit: limit::Limit::default(),
+            contact: contact::Contact::default(),
             idle: RefCell::default(),
             is_probe_pending: Cell::default(),
             probes: budget::Bucket::new(0.0, probe::BURST),
@@ -222,7 +225,7 @@
         if has_restarted {
             self.close_all_idle();
             self.report.set(None);
-            self.failures.set((0.0, now));
+            self.forget_failures(now);
             self.unhealthy_since.set(None);
             self.limit.record(None, now);
         }
@@ -327,6 +330,21 @@
         self.failures.set(((self.failures(now) + weight).min(MAX_FAILURES), now));
     }
 
+    /// Records whether a failed exchange shows that the upstream can be reached.
+    pub fn record_error(&self, error: &http1::Error, now: Instant) {
+        match error.category() {
+            http1::Category::Malformed | http1::Category::HeadTooLarge => {
+                self.contact.record_response(now);
+            }
+            http1::Category::CutShort | http1::Category::Io => self.contact.record_silence(now),
+        }
+    }
+
+    /// Drops the recorded failures.
+    pub fn forget_failures(&self, now: Instant) {
+        self.failures.set((0.0, now));
+    }
+
     /// Returns the number of recent failures, weighted by age.
     pub fn failures(&self, now: Instant) -> f64 {
         let (failures, at) = self.failures.get();
--- a/crates/basilhaven/tests/gateway/main.rs
+++ b/crates/basilhaven/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod limits;
 mod moves;
 mod partition;
+mod reach;
 mod registry;
 mod restore;
 mod selection;
