Send nothing to an upstream that wants nothing for a time

Cause: a 503 of an upstream raised its cost only; Retry-After was not read.

Fix: `pause::Pause` of each upstream, checked where the cold start and the named rate are (`Upstream::admits`), and by the prober: no call, retry or probe goes there until the time is over, plus up to a quarter of a second at random, so that hosts do not return together. If all upstreams of a service want nothing, a call waits if the first end is early enough for it, or is refused at once with that end. The upstream's Retry-After is not sent to callers.

--- a/crates/basilhaven-bench/src/standin/users/upstream.rs
+++ b/crates/basilhaven-bench/src/standin/users/upstream.rs
@@ -97,8 +97,11 @@
     load: String,
     limit: Option<String>,
     is_leaving: bool,
+    /// The time to stay away that it names when it rejects a call.
+    retry_after: Option<String>,
     started: u64,
     arrivals: Vec<Instant>,
+    health_checks: Vec<Instant>,
     executions: Vec<(String, Request, Instant)>,
     cancelled: usize,
     sequence: u64,
@@ -128,7 +131,9 @@
             load: "0,0,4,100".to_owned(),
             limit: None,
             is_leaving: false,
+            retry_after: None,
             started: 1,
+            health_checks: Vec::new(),
             arrivals: Vec::new(),
             executions: Vec::new(),
             cancelled: 0,
@@ -211,6 +216,11 @@
         self.lock().is_leaving = is_leaving;
     }
 
+    /// Sets the time to stay away that it names when it rejects a call, in seconds.
+    pub fn set_retry_after(&self, seconds: Option<&str>) {
+        self.lock().retry_after = seconds.map(str::to_owned);
+    }
+
     /// Starts it anew under the same id: from now on, it registers with a later start.
     pub fn restart(&self) {
         let mut state = self.lock();
@@ -223,6 +233,11 @@
         self.lock().arrivals.clone()
     }
 
+    /// Returns when each health check arrived.
+    pub fn health_checks(&self) -> Vec<Instant> {
+        self.lock().health_checks.clone()
+    }
+
     /// Returns the request ids of the calls that it has executed.
     pub fn executed_ids(&self) -> Vec<String> {
         self.lock().executions.iter().map(|(id, ..)| id.clone()).collect()
@@ -262,7 +277,8 @@
             repeats.send_due(&mut stream, &request, is_health_check, self.lock().behaviour)?;
             if is_health_check {
                 let (status, load, limit) = {
-                    let state = self.lock();
+                    let mut state = self.lock();
+                    state.health_checks.push(Instant::now());
                     let status = if state.is_healthy { 200 } else { 503 };
                     (status, state.load.clone(), state.limit.clone())
                 };
@@ -295,6 +311,8 @@
             Behaviour::Sheds => {
                 let mut headers = vec![("x-basilhaven-not-executed", "1"), (REQUEST_ID, &*id)];
                 headers.extend(marks);
+                let retry_after = self.lock().retry_after.clone();
+                headers.extend(retry_after.as_deref().map(|seconds| ("retry-after", seconds)));
                 write_response(stream, 503, &headers, b"")?;
                 return Ok(true);
             }
--- a/crates/basilhaven-bench/tests/gateway/main.rs
+++ b/crates/basilhaven-bench/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod malformed;
 mod orders;
+mod pauses;
 mod pipelining;
 mod responses;
 mod restore;
--- a/crates/basilhaven/src/gateway/attempt.rs
+++ b/crates/basilhaven/src/gateway/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use http::header::{HeaderMap, HeaderValue};
+use http::header::{self, HeaderMap, HeaderValue};
 
 use super::{protocol, upstream};
 use crate::http1::{self, body, head};
@@ -138,6 +138,8 @@
             // A misdirected call was answered by another upstream, at a reused address.
             if parts.status != http::StatusCode::MISDIRECTED_REQUEST {
                 upstream.record_limit((protocol.parse_limit)(&parts.headers), Instant::now());
+                let pause = (protocol.parse_pause)(parts.status, &parts.headers);
+                upstream.record_pause(pause, Instant::now());
                 if (protocol.parse_leaving)(&parts.headers) {
                     upstream.mark_leaving(upstream::Source::Call);
                 }
@@ -279,6 +281,10 @@
     }
     let mut headers = response.parts.headers;
     head::remove_hop_by_hop(&mut headers);
+    // The time is for this host, not for its callers.
+    if response.parts.status == http::StatusCode::SERVICE_UNAVAILABLE {
+        headers.remove(header::RETRY_AFTER);
+    }
     let leaving = headers.remove(&protocol.headers.leaving).map(|_| Rc::clone(&upstream.id));
     Outcome::Answered(Response { status: response.parts.status, headers, body, remainder, leaving })
 }
--- a/crates/basilhaven/src/gateway/balancer.rs
+++ b/crates/basilhaven/src/gateway/balancer.rs
@@ -8,7 +8,8 @@
 use indexmap::IndexMap;
 
 use super::{
-    cluster, contact, limit, moves, probe, reach, registry, retries, route, selection, upstream,
+    cluster, contact, limit, moves, pause, probe, reach, registry, retries, route, selection,
+    upstream,
 };
 
 /// Maximum number of upstreams that one search probes for their load.
@@ -97,6 +98,12 @@
     /// can place the call.
     #[display("unreachable")]
     Unreachable,
+    /// All eligible upstreams want nothing from this host until after the call has to start.
+    #[display("paused")]
+    Paused {
+        /// When the first of them takes calls again.
+        retry_after: Duration,
+    },
     /// All eligible upstreams name a rate of calls, and these rates do not admit the call in time.
     #[display("rate-limited")]
     RateLimited {
@@ -135,6 +142,8 @@
     slot_freed: super::notify::Notifier,
     /// The calls that the rates of all eligible upstreams admit; `None` if one names no rate.
     supply: Cell<Option<limit::Supply>>,
+    /// When the first of the eligible upstreams wants calls again; `None` if one wants them now.
+    paused_until: Cell<Option<Instant>>,
     /// Budget for attempts beyond the first of each call.
     pub retries: retries::Budget,
     /// Mean latency of each route's calls at an upstream of cost 1, in seconds, by route name.
@@ -172,6 +181,7 @@
             next_ticket: Cell::default(),
             slot_freed: super::notify::Notifier::default(),
             supply: Cell::default(),
+            paused_until: Cell::default(),
             retries: retries::Budget::new(RETRY_WINDOW),
             baselines: RefCell::default(),
         }
@@ -218,6 +228,16 @@
         waiting.iter().filter(|position| position.sort_key(now) < own).count()
     }
 
+    /// Returns an error if no upstream wants calls of this host until `queue_until`.
+    fn check_pauses(&self, queue_until: Instant, now: Instant) -> Result<(), Refusal> {
+        match self.queue.paused_until.get() {
+            Some(end) if end > queue_until => {
+                Err(Refusal::Paused { retry_after: end.saturating_duration_since(now) })
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Returns an error if the rates of the upstreams do not admit this call until `queue_until`.
     fn check_supply(&self, queue_until: Instant, now: Instant) -> Result<(), Refusal> {
         let Some(supply) = self.queue.supply.get() else { return Ok(()) };
@@ -323,6 +343,7 @@
                 }
             }
             let now = Instant::now();
+            ticket.check_pauses(requirements.queue_until, now)?;
             ticket.check_supply(requirements.queue_until, now)?;
             if now >= requirements.queue_until {
                 return Err(Refusal::NoCapacity);
@@ -358,7 +379,13 @@
             .filter(|u| !requirements.tried_upstreams.contains(&u.id))
             .collect();
         let eligible = if untried.is_empty() { eligible } else { untried };
-        queue.supply.set(limit::Supply::of(eligible.iter().map(|u| &u.limit), now));
+        queue.paused_until.set(pause::Pause::first_end(eligible.iter().map(|u| &u.pause), now));
+        let wanting = eligible.iter().filter(|u| !u.pause.is_active(now));
+        let supply = match queue.paused_until.get() {
+            Some(_) => None,
+            None => limit::Supply::of(wanting.map(|u| &u.limit), now),
+        };
+        queue.supply.set(supply);
         let point = self.members.ring_point(now);
         self.refresh_limit(&eligible, point, service, now);
         let (limited, unlimited): (Vec<_>, Vec<_>) =
--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -198,7 +198,9 @@
                     }
                 }
                 log_refusal(call, route, name, refusal, progress.sends, started);
-                if let balancer::Refusal::RateLimited { retry_after: Some(time) } = refusal {
+                if let balancer::Refusal::RateLimited { retry_after: Some(time) }
+                | balancer::Refusal::Paused { retry_after: time } = refusal
+                {
                     retry_after = time;
                 }
                 break;
--- a/crates/basilhaven/src/gateway/mod.rs
+++ b/crates/basilhaven/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod limit;
 pub mod moves;
 pub mod notify;
+pub mod pause;
 pub mod probe;
 pub mod protocol;
 pub mod reach;
--- a/crates/basilhaven/src/gateway/probe.rs
+++ b/crates/basilhaven/src/gateway/probe.rs
@@ -53,13 +53,13 @@
         upstream.probes.try_take(1.0)
     }
 
-    /// Starts a probe unless one is pending or this host has used up its share; returns whether a
-    /// probe is pending now.
+    /// Starts a probe unless one is pending, this host has used up its share, or the upstream wants
+    /// nothing from it; returns whether a probe is pending now.
     pub fn start(self: &Rc<Self>, upstream: &Rc<upstream::Upstream>, path: &Rc<str>) -> bool {
         if upstream.is_probe_pending.get() {
             return true;
         }
-        if !self.try_take_token(upstream) {
+        if upstream.pause.is_active(Instant::now()) || !self.try_take_token(upstream) {
             return false;
         }
         upstream.is_probe_pending.set(true);
@@ -170,6 +170,7 @@
         let cold_ms = headers.get(&names.cold_ms).and_then(parse_number);
         upstream.warmup.set_remaining(now, Duration::from_millis(cold_ms.unwrap_or(0)));
         upstream.record_limit((self.protocol.parse_limit)(headers), now);
+        upstream.record_pause((self.protocol.parse_pause)(*status, headers), now);
         if (self.protocol.parse_leaving)(headers) {
             upstream.mark_leaving(upstream::Source::Probe);
         }
--- a/crates/basilhaven/src/gateway/protocol.rs
+++ b/crates/basilhaven/src/gateway/protocol.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderName};
 
-use super::{directory, limit};
+use super::{directory, limit, pause};
 
 /// Names of header fields, set by the embedding program.
 #[derive(Debug, Clone)]
@@ -52,6 +52,9 @@
     pub parse_load: fn(&HeaderMap) -> Option<Load>,
     /// Parses the rate of calls that a response of an upstream names; `None` if it names none.
     pub parse_limit: fn(&HeaderMap) -> Result<Option<limit::Rate>, limit::Error>,
+    /// Parses the time for which the upstream that has sent a response wants nothing from this
+    /// host; `None` if the response does not turn a call away or names no time.
+    pub parse_pause: fn(http::StatusCode, &HeaderMap) -> Result<Option<pause::Time>, pause::Error>,
     /// Returns whether a response of an upstream says that the upstream is leaving.
     pub parse_leaving: fn(&HeaderMap) -> bool,
     /// The path at which the platform checks whether a host is ready.
--- a/crates/basilhaven/src/gateway/upstream.rs
+++ b/crates/basilhaven/src/gateway/upstream.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{contact, limit, notify, probe, protocol, warmup};
+use super::{contact, limit, notify, pause, probe, protocol, warmup};
 use crate::{budget, http1};
 
 /// How long a connection is kept idle if the upstream gives no keep-alive time.
@@ -113,6 +113,7 @@
     sent_since_report: Cell<u32>,
     pub(super) warmup: warmup::Warmup,
     pub(super) limit: limit::Limit,
+    pub(super) pause: pause::Pause,
     /// Whether the upstream responds to this host.
     pub contact: contact::Contact,
     idle: RefCell<Vec<Idle>>,
@@ -138,6 +139,7 @@
             sent_since_report: Cell::default(),
             warmup: warmup::Warmup::default(),
             limit: limit::Limit::default(),
+            pause: pause::Pause::default(),
             contact: contact::Contact::default(),
             idle: RefCell::default(),
             is_probe_pending: Cell::default(),
@@ -215,10 +217,10 @@
         self.warmup.is_cold(now)
     }
 
-    /// Returns whether this host may send the upstream a call now, by its cold start and by the
-    /// rate that it names.
+    /// Returns whether this host may send the upstream a call now, by its cold start, by the rate
+    /// that it names and by the time for which it wants nothing.
     pub fn admits(&self, now: Instant) -> bool {
-        self.warmup.admits(now) && self.limit.admits(now)
+        !self.pause.is_active(now) && self.warmup.admits(now) && self.limit.admits(now)
     }
 
     /// Returns the remaining time of the upstream's cold start.
@@ -250,6 +252,7 @@
             self.forget_failures(now);
             self.unhealthy_since.set(None);
             self.limit.record(None, now);
+            self.pause.end();
         }
         if has_restarted || !entry.cold_remaining.is_zero() {
             self.warmup.set_remaining(now, entry.cold_remaining);
@@ -318,6 +321,24 @@
         }
     }
 
+    /// Records the time for which the upstream wants nothing from this host, if a response that
+    /// turns a call away names one. A time that cannot be parsed is ignored.
+    pub fn record_pause(&self, parsed: Result<Option<pause::Time>, pause::Error>, now: Instant) {
+        match parsed {
+            Ok(None) => {}
+            Ok(Some(time)) => {
+                if self.pause.begin(time, now) {
+                    let ms = time.duration().as_millis() as u64;
+                    tracing::info!(event = "upstream_paused", upstream = &*self.id, ms);
+                }
+            }
+            Err(error) => {
+                metrics::counter!("basilhaven_pauses_unreadable_total").increment(1);
+                tracing::info!(event = "pause_unreadable", upstream = &*self.id, %error);
+            }
+        }
+    }
+
     /// Returns the number of calls that the upstream runs or has queued, as far as this host knows.
     pub fn occupancy(&self) -> u32 {
         let reported =
