Do not take a rejection that is sent again for that of a running call

What callers saw (in a test): 503 for a call that had run, on its only upstream.

Cause: responses are matched by the echoed request id only. After a rejection, the second attempt of a call at the same upstream uses the same connection and the same id, so a copy of the rejection matches. A rejection without an id was taken for the response to whatever call was waiting.

Fix: a second attempt of a call at an upstream opens a new connection; a rejection shows that a call has not run only if it carries the call's id; connections with an invalid response are closed.

--- a/crates/basilhaven-bench/src/standin/users/upstream.rs
+++ b/crates/basilhaven-bench/src/standin/users/upstream.rs
@@ -16,6 +16,9 @@
 /// The header field that marks all responses of an upstream that is leaving.
 const LEAVING: &str = "server-leaving";
 
+/// Marks the response to a call that was not executed.
+const REJECTION: (&str, &str) = ("x-basilhaven-not-executed", "1");
+
 /// The number of slots that an upstream registers in the store.
 pub const SLOTS: u32 = 4;
 
@@ -41,6 +44,11 @@
     Fails,
     /// Rejects calls with status 503 and marks them as not executed.
     Sheds,
+    /// Rejects the first call of a connection as [`Sheds`](Behaviour::Sheds) does. When it executes
+    /// the second one, it sends the rejection again before the response.
+    RepeatsRejections(Echo),
+    /// Executes calls and closes the connection after so many bytes of the response's head.
+    TruncatesHead(usize),
     /// Rejects calls with status 421, as an upstream other than the one addressed does.
     RejectsAsMisdirected,
     /// Executes calls and never responds.
@@ -49,6 +57,15 @@
     Endless(Endless),
 }
 
+/// Whether a rejection that is sent again carries the request id of the call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Echo {
+    /// It does.
+    Id,
+    /// It does not.
+    Nothing,
+}
+
 /// The part of a response that never ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Endless {
@@ -272,6 +289,7 @@
         stream.set_nodelay(true)?;
         self.lock().connections += 1;
         let mut repeats = Repeats::default();
+        let mut rejected: Option<String> = None;
         while let Some(request) = read_request(&mut stream)? {
             let is_health_check = request.path() == "/healthz";
             repeats.send_due(&mut stream, &request, is_health_check, self.lock().behaviour)?;
@@ -289,6 +307,11 @@
                 headers.extend(limit.as_deref().map(|limit| (LIMIT, limit)));
                 headers.extend(self.lock().is_leaving.then_some((LEAVING, "1")));
                 write_response(&mut stream, status, &headers, b"")?;
+                continue;
+            }
+            let behaviour = self.lock().behaviour;
+            if let Behaviour::RepeatsRejections(echo) = behaviour {
+                self.reject_once(&mut stream, request, echo, &mut rejected)?;
             } else if !self.serve_call(&mut stream, request)? {
                 return Ok(());
             }
@@ -296,6 +319,31 @@
         Ok(())
     }
 
+    /// Rejects the first call of a connection, and executes the others after sending that rejection
+    /// again.
+    fn reject_once(
+        &self,
+        stream: &mut TcpStream,
+        request: Request,
+        echo: Echo,
+        rejected: &mut Option<String>,
+    ) -> io::Result<()> {
+        let id = request.header(REQUEST_ID).unwrap_or_default().to_owned();
+        self.lock().arrivals.push(Instant::now());
+        let Some(earlier) = rejected.take() else {
+            write_response(stream, 503, &[REJECTION, (REQUEST_ID, &*id)], b"")?;
+            *rejected = Some(id);
+            return Ok(());
+        };
+        self.lock().executions.push((id.clone(), request, Instant::now()));
+        match echo {
+            Echo::Id => write_response(stream, 503, &[REJECTION, (REQUEST_ID, &*earlier)], b"")?,
+            Echo::Nothing => write_response(stream, 503, &[REJECTION], b"")?,
+        }
+        let signed = [(REQUEST_ID, &*id), ("x-basilhaven-server-signature", "s.1")];
+        write_response(stream, 200, &signed, format!("{id} by {}", self.id).as_bytes())
+    }
+
     /// Serves a call, and returns whether the connection stays open.
     fn serve_call(&self, stream: &mut TcpStream, request: Request) -> io::Result<bool> {
         let id = request.header(REQUEST_ID).unwrap_or_default().to_owned();
@@ -309,7 +357,7 @@
             limit.as_deref().map(|limit| (LIMIT, limit)).into_iter().chain(leaving).collect();
         match behaviour {
             Behaviour::Sheds => {
-                let mut headers = vec![("x-basilhaven-not-executed", "1"), (REQUEST_ID, &*id)];
+                let mut headers = vec![REJECTION, (REQUEST_ID, &*id)];
                 headers.extend(marks);
                 let retry_after = self.lock().retry_after.clone();
                 headers.extend(retry_after.as_deref().map(|seconds| ("retry-after", seconds)));
@@ -335,6 +383,14 @@
                 stream.write_all(head.as_bytes())?;
                 return Ok(false);
             }
+            Behaviour::TruncatesHead(len) => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\n{REQUEST_ID}: {id}\r\n\
+                     x-basilhaven-server-signature: s.1\r\ncontent-length: 4\r\n\r\n"
+                );
+                stream.write_all(&head.as_bytes()[..len.min(head.len() - 1)])?;
+                return Ok(false);
+            }
             Behaviour::RepeatsResponses => {
                 write_response(stream, 200, &signed, &body)?;
                 write_response(stream, 200, &signed, &body)?;
@@ -363,7 +419,9 @@
                 std::thread::sleep(time);
                 write_response(stream, 200, &signed, &body)?;
             }
-            Behaviour::Sheds | Behaviour::RejectsAsMisdirected => {}
+            Behaviour::Sheds
+            | Behaviour::RepeatsRejections(_)
+            | Behaviour::RejectsAsMisdirected => {}
         }
         Ok(true)
     }
--- a/crates/basilhaven-bench/tests/gateway/responses.rs
+++ b/crates/basilhaven-bench/tests/gateway/responses.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use basilhaven_bench::standin::block_on;
-use basilhaven_bench::standin::users::upstream::{Behaviour, Endless};
+use basilhaven_bench::standin::users::upstream::{Behaviour, Echo, Endless};
 
 use crate::fixture::{receive, send, wait_until, Fixture, PROMPT};
 
@@ -281,3 +281,41 @@
         }
     });
 }
+
+fn check_repeated_rejection(echo: Echo) {
+    block_on(async {
+        let fixture = Fixture::start(&[Behaviour::RepeatsRejections(echo)]).await;
+        for number in 0..20 {
+            let id = format!("call-{number}");
+            let response = fixture.host.call("POST", &format!("/unsafe/{id}"), &id).unwrap();
+            let runs = fixture.runs_of(&id);
+            assert!(runs <= 1, "{id} ran {runs} times");
+            let is_refused = matches!(response.status, 408 | 421 | 429 | 503);
+            assert!(!is_refused || runs == 0, "{id} was refused and has run");
+        }
+    });
+}
+
+#[test]
+fn a_rejection_that_is_sent_again_is_not_taken_for_that_of_the_same_call_at_the_same_upstream() {
+    check_repeated_rejection(Echo::Id);
+}
+
+#[test]
+fn a_rejection_without_a_request_id_does_not_show_that_a_call_has_not_run() {
+    check_repeated_rejection(Echo::Nothing);
+}
+
+#[test]
+fn a_response_whose_head_is_cut_is_never_forwarded_as_complete() {
+    block_on(async {
+        let fixture = Fixture::start(&[PROMPT]).await;
+        for len in (0..100).step_by(3) {
+            fixture.upstreams[0].set_behaviour(Behaviour::TruncatesHead(len));
+            let id = format!("cut-{len}");
+            let response = fixture.host.call("POST", &format!("/unsafe/{id}"), &id).unwrap();
+            let expected = if fixture.runs_of(&id) == 0 { 503 } else { 502 };
+            assert_eq!(response.status, expected, "{len} bytes of the head: {response:?}");
+        }
+    });
+}
--- a/crates/basilhaven/src/gateway/attempt.rs
+++ b/crates/basilhaven/src/gateway/attempt.rs
@@ -110,13 +110,15 @@
     Unknown(Cause),
 }
 
-/// Sends a call to an upstream and waits for the response.
+/// Sends a call to an upstream and waits for the response. `was_sent_before` tells whether an
+/// earlier attempt of the call was sent to the same upstream.
 pub async fn send(
     call: &Call,
     upstream: &upstream::Upstream,
     protocol: &protocol::Protocol,
+    was_sent_before: bool,
 ) -> Outcome {
-    let opened = timeout_at(call.deadline, connect(call, upstream)).await;
+    let opened = timeout_at(call.deadline, connect(call, upstream, was_sent_before)).await;
     let mut conn = match opened {
         Ok(Ok(conn)) => conn,
         Ok(Err(error)) => {
@@ -170,13 +172,20 @@
     monoio::time::timeout(deadline.saturating_duration_since(Instant::now()), work).await
 }
 
-async fn connect(call: &Call, upstream: &upstream::Upstream) -> std::io::Result<http1::Conn> {
+async fn connect(
+    call: &Call,
+    upstream: &upstream::Upstream,
+    was_sent_before: bool,
+) -> std::io::Result<http1::Conn> {
     let max_idle = match call.idempotency {
         profile::Idempotency::Idempotent => MAX_IDLE_IDEMPOTENT,
         profile::Idempotency::AtMostOnce => MAX_IDLE_AT_MOST_ONCE,
     };
-    if let Some(conn) = upstream.take_conn(Instant::now(), max_idle) {
-        return Ok(conn);
+    // On the connection of the earlier attempt, a copy of its response has the same request id.
+    if !was_sent_before {
+        if let Some(conn) = upstream.take_conn(Instant::now(), max_idle) {
+            return Ok(conn);
+        }
     }
     let address = upstream.entry().address;
     http1::Conn::open(address, CONNECT_TIMEOUT).await
@@ -215,7 +224,8 @@
         };
         let body = buffer_body(conn, &mut reader).await?;
         if is_own {
-            return Ok(inspect(response, body, reader, protocol, conn, mismatched));
+            let has_id = echoed.is_some() || call.id.is_none();
+            return Ok(inspect(response, body, reader, protocol, conn, (has_id, mismatched)));
         }
         mismatched += 1;
         let is_last = response.framing == body::Framing::UntilClose || !reader.is_done();
@@ -247,15 +257,23 @@
     reader: body::Reader,
     protocol: &protocol::Protocol,
     conn: &http1::Conn,
-    mismatched: usize,
+    (has_id, mismatched): (bool, usize),
 ) -> Received {
     let headers = &response.parts.headers;
     let status = response.parts.status;
-    let is_not_run = headers.contains_key(&protocol.headers.not_run)
+    let is_rejection = headers.contains_key(&protocol.headers.not_run)
         || status == http::StatusCode::MISDIRECTED_REQUEST;
-    let is_valid = !status.is_success() || headers.contains_key(&protocol.headers.signature);
-    let is_reusable =
-        response.allows_reuse() && reader.is_done() && mismatched == 0 && !conn.has_buffered();
+    // A rejection without the id may be a copy of one of an earlier call.
+    let is_not_run = is_rejection && has_id;
+    let is_valid = match status.is_success() {
+        true => headers.contains_key(&protocol.headers.signature),
+        false => !is_rejection || has_id,
+    };
+    let is_reusable = is_valid
+        && response.allows_reuse()
+        && reader.is_done()
+        && mismatched == 0
+        && !conn.has_buffered();
     Received { response, body, reader, is_not_run, is_valid, is_reusable }
 }
 
--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -210,7 +210,9 @@
             break;
         }
         let sent_at = Instant::now();
-        let outcome = attempt::send(call, &permit.upstream, &frontend.protocol).await;
+        let was_sent_before = progress.tried_upstreams.contains(&permit.upstream.id);
+        let outcome =
+            attempt::send(call, &permit.upstream, &frontend.protocol, was_sent_before).await;
         let waited = sent_at.saturating_duration_since(started);
         log_attempt(call, route, table, &permit, &outcome, (waited, sent_at.elapsed()));
         record_evidence(frontend, name, route, &permit, &outcome, sent_at.elapsed());
