Soak: hosts that are cut from all upstreams, upstreams that leave or turn calls away

The soak cuts hosts from all upstreams (hang, reset, reset new connections), has upstreams say that they leave and start anew, and turn calls away for 1.5 s, in a generator of its own. It checks first tries at cut hosts and calls to leaving upstreams as the users' rules do; pauses are played but checked by the tests of `pauses` only, since rejected calls carry no sender there.

--- a/crates/basilhaven-bench/src/soak/check.rs
+++ b/crates/basilhaven-bench/src/soak/check.rs
@@ -79,6 +79,8 @@
         }
     }
     check_limits(records, history, &mut report);
+    check_cuts(records, history, &mut report);
+    check_leaving(&by_id, upstreams, history, &mut report);
     check_rates(&by_id, upstreams, history, &mut report);
     history.runs.iter().for_each(|run| check_process(run, history, &mut report));
     violations
@@ -275,6 +277,82 @@
     }
 }
 
+/// Checks that first tries at hosts that are cut from all upstreams are served nearly as often as
+/// those at the other hosts (`RECOVER` of the users' rules).
+fn check_cuts<F>(records: &[Record], history: &History, report: &mut F)
+where
+    F: FnMut(&'static str, String),
+{
+    let is_cut = |host: usize, from: Instant, to: Instant| {
+        history.cuts.iter().any(|(own, span)| *own == host && span.overlaps(from, to))
+    };
+    let is_cut_for_long = |record: &Record| {
+        let is_past = |span: &Span| {
+            span.from + RECONNECT_TIMEOUT < record.sent
+                && span.to.is_none_or(|end| end > record.sent)
+        };
+        history.cuts.iter().any(|(own, span)| *own == record.host && is_past(span))
+    };
+    let (mut cut, mut others) = ((0usize, 0usize), (0usize, 0usize));
+    let long_cuts: Vec<&Span> = history.cuts.iter().map(|(_, span)| span).collect();
+    for record in records.iter().filter(|r| is_host_undisturbed(r, Duration::ZERO, history)) {
+        let Some(from) = record.sent.checked_sub(RECONNECT_TIMEOUT) else { continue };
+        let served = usize::from(record.status() == 200);
+        if is_cut_for_long(record) {
+            cut = (cut.0 + 1, cut.1 + served);
+        } else if !is_cut(record.host, from, record.ended)
+            && long_cuts.iter().any(|span| span.overlaps(from, record.sent))
+        {
+            others = (others.0 + 1, others.1 + served);
+        }
+    }
+    let rate = |(count, served): (usize, usize)| served as f64 / count.max(1) as f64;
+    let failed = cut.0 - cut.1;
+    if others.0 > 0 && rate(cut) < rate(others) * 2.0 / 3.0 && failed > 10 + (cut.0 + others.0) / 50
+    {
+        let details =
+            format!("{} of {} served, of others {} of {}", cut.1, cut.0, others.1, others.0);
+        report("callers of hosts that are cut from all upstreams are served", details);
+    }
+}
+
+/// Checks that an upstream that says in its responses that it leaves gets no calls through a host
+/// that has passed on such a response long enough before.
+fn check_leaving<F>(
+    by_id: &IndexMap<&str, &Record>,
+    upstreams: &[Upstream],
+    history: &History,
+    report: &mut F,
+) where
+    F: FnMut(&'static str, String),
+{
+    for (index, span) in &history.said_leaving {
+        let mut informed: IndexMap<usize, Instant> = IndexMap::new();
+        for (id, _, at) in upstreams[*index].server.executions() {
+            let Some(record) = by_id.get(&*id) else { continue };
+            if at < span.from || span.to.is_some_and(|end| at >= end) {
+                continue;
+            }
+            // A call at a host that is cut is sent by another host.
+            let is_own_call = !history
+                .cuts
+                .iter()
+                .any(|(host, cut)| *host == record.host && cut.overlaps(span.from, record.ended));
+            let is_running = is_host_undisturbed(record, DRAIN_TIMEOUT, history);
+            if let (Some(since), true, true) = (informed.get(&record.host), is_own_call, is_running)
+            {
+                if record.sent > *since + DRAIN_TIMEOUT {
+                    let details = format!("{id}: upstream {index}, {record:?}");
+                    report("an upstream that says it leaves receives no calls", details);
+                }
+            }
+            if is_own_call && record.status() == 200 {
+                informed.entry(record.host).or_insert(record.ended);
+            }
+        }
+    }
+}
+
 /// Checks that a limited upstream gets, in each window, no more calls than its rate allows from
 /// hosts without a fault.
 fn check_rates<F>(
--- a/crates/basilhaven-bench/src/soak/plan.rs
+++ b/crates/basilhaven-bench/src/soak/plan.rs
@@ -21,6 +21,13 @@
 /// The mean interval between two restores of the store or limits of upstreams, in milliseconds.
 const MEAN_DRILL_INTERVAL_MS: u64 = 2_000;
 
+/// The mean interval between two cuts of hosts from all upstreams, or upstreams that leave or turn
+/// calls away for a time, in milliseconds.
+const MEAN_CUT_INTERVAL_MS: u64 = 2_500;
+
+/// The time for which an upstream that turns calls away wants nothing, in seconds.
+pub const BUSY_TIME: &str = "1.5";
+
 /// The rate that a limited upstream names, in calls per second.
 pub const LIMIT: f64 = 4.0;
 
@@ -52,6 +59,12 @@
     RestoreStore,
     /// Sets whether an upstream names a rate of calls.
     Limit(usize, bool),
+    /// Sets whether an upstream says in its responses that it is leaving; it then starts anew.
+    Leave(usize, bool),
+    /// Sets whether an upstream turns calls away for a time.
+    Busy(usize, bool),
+    /// Sets the state of the links between a host and all upstreams.
+    HostLink(usize, Link),
     /// Sets the state of the link between a host and the store.
     StoreLink(usize, Link),
     /// Sets the state of the link between all hosts and an upstream.
@@ -108,6 +121,10 @@
     add_faults(random, MEAN_DRILL_INTERVAL_MS, duration, &mut steps, |random, add| {
         add_drill(random, size, add);
     });
+    let random = fastrand::Rng::with_seed(seed.rotate_left(32) ^ 1);
+    add_faults(random, MEAN_CUT_INTERVAL_MS, duration, &mut steps, |random, add| {
+        add_cut(random, size, add);
+    });
     steps.sort_by_key(|event| event.at);
     steps
 }
@@ -129,7 +146,11 @@
         let order_end = (at + random.u64(ORDER_DURATION_MS)).min(end);
         add_fault(&mut random, &mut |is_end, step| {
             let until = match step {
-                Step::Register(..) | Step::Evacuate(_) | Step::Limit(..) => order_end,
+                Step::Register(..)
+                | Step::Evacuate(_)
+                | Step::Limit(..)
+                | Step::HostLink(..)
+                | Step::Leave(..) => order_end,
                 _ => fault_end,
             };
             let at = Duration::from_millis(if is_end { until } else { at });
@@ -157,6 +178,30 @@
     }
 }
 
+/// Adds the steps of a host that is cut from all upstreams, or of an upstream that leaves or turns
+/// calls away for a time.
+fn add_cut<F>(random: &mut fastrand::Rng, size: Size, mut add: F)
+where
+    F: FnMut(bool, Step),
+{
+    let (host, upstream) = (random.usize(0..size.hosts), random.usize(0..2 * size.upstreams));
+    match random.u8(0..4) {
+        0 | 1 => {
+            let links = [Link::Blackhole, Link::Resets, Link::ResetsNew];
+            add(false, Step::HostLink(host, links[random.usize(0..links.len())]));
+            add(true, Step::HostLink(host, Link::Open));
+        }
+        2 => {
+            add(false, Step::Leave(upstream, true));
+            add(true, Step::Leave(upstream, false));
+        }
+        _ => {
+            add(false, Step::Busy(upstream, true));
+            add(true, Step::Busy(upstream, false));
+        }
+    }
+}
+
 /// Adds the steps of one random fault: those at its start and, if it has an end, those at its end.
 /// The flag passed to `add` is set for the steps at the end.
 fn add_fault<F>(random: &mut fastrand::Rng, size: Size, mut add: F)
--- a/crates/basilhaven-bench/src/soak/system.rs
+++ b/crates/basilhaven-bench/src/soak/system.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use super::caller;
-use super::plan::{Registration, Size, Step, DEFAULT_BEHAVIOUR, LIMIT};
+use super::links::Links;
+use super::plan::{Registration, Size, Step, BUSY_TIME, DEFAULT_BEHAVIOUR, LIMIT};
 use super::proxy::{Link, Proxy};
 use crate::gateway::{self, Host};
 use crate::process::Signal;
@@ -79,6 +80,10 @@
     pub store_faults: Vec<Span>,
     /// When the link between a host and the store had a fault.
     pub link_faults: Vec<(usize, Span)>,
+    /// When a host was cut from all upstreams.
+    pub cuts: Vec<(usize, Span)>,
+    /// When upstreams said in their responses that they were leaving.
+    pub said_leaving: Vec<(usize, Span)>,
     /// The services that the routes led to, each with the time when the store had its
     /// configuration.
     pub services: Vec<(Instant, &'static str)>,
@@ -98,6 +103,9 @@
     /// The state in which each upstream has registered.
     registrations: Vec<Registration>,
     store_links: Vec<Proxy>,
+    /// The links of each host process to all upstreams, and the state that each host should have.
+    links: Links,
+    host_links: Vec<Link>,
     /// The upstreams of all services.
     pub upstreams: Vec<Upstream>,
     hosts: Vec<HostState>,
@@ -121,9 +129,10 @@
     pub async fn start(size: Size, net: u8) -> System {
         let store = Store::start();
         let mut upstreams = Vec::new();
+        let links = Links::default();
         for index in 0..2 * size.upstreams {
             let server = upstream::Upstream::start(&format!("i-{index}"), DEFAULT_BEHAVIOUR);
-            let proxy = Proxy::start(server.address());
+            let proxy = Proxy::start_among(server.address(), &links);
             let service = [gateway::SERVICE, gateway::OTHER_SERVICE][index % 2];
             let data_centre = ["a", EVACUATED][index / 2 % 2];
             upstreams.push(Upstream { server, service, data_centre, proxy });
@@ -134,6 +143,8 @@
         let mut system = System {
             store_links: ips.iter().map(|_| Proxy::start(store.address())).collect(),
             store,
+            links,
+            host_links: vec![Link::Open; ips.len()],
             copy: None,
             registrations: vec![Registration::Ready; upstreams.len()],
             upstreams,
@@ -180,6 +191,7 @@
         let host =
             Host::start_with(store, self.ips[index], self.peer_port, &self.seeds, &settings).await;
         self.set_caller_address(index, Some(host.callers));
+        self.links.set_link(host.process.id(), self.host_links[index]);
         let run = Run {
             host: index,
             started,
@@ -242,6 +254,31 @@
                 }
                 self.upstreams[upstream].server.set_limit(is_limited.then_some(LIMIT));
             }
+            Step::HostLink(host, link) => {
+                self.host_links[host] = link;
+                if let HostState::Running(running, _) = &self.hosts[host] {
+                    self.links.set_link(running.process.id(), link);
+                }
+                end_spans(&mut self.history.cuts, host, now);
+                if link != Link::Open {
+                    self.history.cuts.push((host, Span { from: now, to: None }));
+                }
+            }
+            Step::Leave(upstream, true) => {
+                self.upstreams[upstream].server.set_leaving(true);
+                self.history.said_leaving.push((upstream, Span { from: now, to: None }));
+            }
+            Step::Leave(upstream, false) => {
+                end_spans(&mut self.history.said_leaving, upstream, now);
+                self.upstreams[upstream].server.restart();
+                self.write_registration(upstream);
+            }
+            Step::Busy(upstream, is_busy) => {
+                let server = &self.upstreams[upstream].server;
+                server.set_retry_after(is_busy.then_some(BUSY_TIME));
+                let busy = upstream::Behaviour::Sheds;
+                server.set_behaviour(if is_busy { busy } else { DEFAULT_BEHAVIOUR });
+            }
             Step::StoreLink(host, link) => {
                 self.store_links[host].set_link(link);
                 end_spans(&mut self.history.link_faults, host, now);
@@ -362,12 +399,15 @@
         for index in 0..self.hosts.len() {
             self.apply(Step::Resume(index));
             self.apply(Step::StoreLink(index, Link::Open));
+            self.apply(Step::HostLink(index, Link::Open));
         }
         for index in 0..self.upstreams.len() {
             self.apply(Step::UpstreamLink(index, Link::Open));
             self.apply(Step::Upstream(index, DEFAULT_BEHAVIOUR));
             self.apply(Step::Healthy(index, true));
             self.apply(Step::Limit(index, false));
+            self.apply(Step::Busy(index, false));
+            self.apply(Step::Leave(index, false));
             self.register(index, Registration::Ready);
         }
         self.apply(Step::Evacuate(false));
--- a/crates/basilhaven-bench/tests/gateway/stranded.rs
+++ b/crates/basilhaven-bench/tests/gateway/stranded.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use basilhaven_bench::process::Signal;
 use basilhaven_bench::soak::caller;
 use basilhaven_bench::soak::links::Links;
 use basilhaven_bench::soak::proxy::{Link, Proxy};
@@ -149,3 +150,25 @@
 fn callers_of_a_host_that_gets_no_new_connection_to_any_upstream_are_served() {
     block_on(check_cut(43, &[1], Link::ResetsNew));
 }
+
+#[test]
+fn a_planned_stop_of_a_host_that_serves_calls_of_a_cut_one_cuts_no_call() {
+    block_on(async {
+        let system = System::start(44).await;
+        system.cut(&[0], Link::Blackhole);
+        monoio::time::sleep(GRACE).await;
+        let from = Instant::now();
+        system.hosts[1].process.signal(Signal::Terminate);
+        monoio::time::sleep(WINDOW).await;
+        let records = system.callers.finish();
+        let at_cut: Vec<_> = records.iter().filter(|r| r.host == 0 && r.sent >= from).collect();
+        assert!(at_cut.len() > 50, "{} calls at the host that is cut", at_cut.len());
+        let failed: Vec<_> = at_cut.iter().filter(|record| record.status() != 200).collect();
+        assert!(failed.is_empty(), "{failed:?}");
+        let lost = records.iter().find(|record| {
+            let ran = |upstream: &Upstream| upstream.executed_ids().contains(&record.id);
+            record.status() == 0 && system.upstreams.iter().any(ran)
+        });
+        assert!(lost.is_none(), "a call that ran was cut: {lost:?}");
+    });
+}
