--- a/crates/basilhaven-bench/src/soak/links.rs
+++ b/crates/basilhaven-bench/src/soak/links.rs
@@ -10,7 +10,7 @@
 use super::proxy::Link;
 
 /// Lookups of the owner of a connection: a list that changes while it is read may lack entries.
-const LOOKUPS: usize = 8;
+const LOOKUPS: usize = 4;
 
 /// The state of the links of each host process. A process must be known before it opens connections
 /// that are to be cut later.
@@ -29,6 +29,11 @@
         self.lock().insert(process, link);
     }
 
+    /// Forgets a process that has ended.
+    pub fn remove(&self, process: u32) {
+        self.lock().shift_remove(&process);
+    }
+
     /// Returns the state of the links of a process.
     pub(super) fn link_of(&self, process: u32) -> Link {
         self.lock().get(&process).copied().unwrap_or(Link::Open)
--- a/crates/basilhaven-bench/src/soak/proxy.rs
+++ b/crates/basilhaven-bench/src/soak/proxy.rs
@@ -83,8 +83,9 @@
         let served = proxy.clone();
         std::thread::spawn(move || {
             for client in listener.incoming().flatten() {
+                let served = served.clone();
                 // A failed connection is closed on both sides; the client reconnects.
-                let _ = served.connect(client, server);
+                std::thread::spawn(move || served.connect(client, server));
             }
         });
         proxy
--- a/crates/basilhaven-bench/src/soak/system.rs
+++ b/crates/basilhaven-bench/src/soak/system.rs
@@ -169,6 +169,7 @@
                 let Some(success) = host.process.wait(Duration::ZERO).await else { continue };
                 run.ended = Some((Instant::now(), success));
                 run.lines = host.process.lines();
+                self.links.remove(host.process.id());
                 self.set_caller_address(index, None);
                 let restarting = HostState::Restarting(Instant::now() + RESTART_DELAY);
                 if let HostState::Running(_, run) =
--- a/crates/basilhaven/src/gateway/balancer.rs
+++ b/crates/basilhaven/src/gateway/balancer.rs
@@ -39,6 +39,9 @@
 /// Waiting calls of one service that may search at the same time.
 const MAX_CONCURRENT_SEARCHES: usize = 2;
 
+/// Failed searches of a call after which it is checked again whether upstreams respond.
+const SEARCHES_PER_REACH_CHECK: u32 = 4;
+
 /// The window over which retries are counted.
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
@@ -60,8 +63,8 @@
     pub target_at: Instant,
     /// Baseline latency of the route's calls; see [`Queue::baseline`].
     pub baseline: Duration,
-    /// Whether another host can place the call.
-    pub can_be_passed_on: bool,
+    /// Whether the call may be passed to another host.
+    pub may_be_passed_on: bool,
 }
 
 impl Requirements<'_> {
@@ -306,7 +309,10 @@
             upstreams.iter().filter(|u| self.registry.is_eligible(u, now)).collect();
         match self.reach.update(requirements.service, &eligible, now) {
             contact::Coverage::Lost => Err(Refusal::Unreachable),
-            contact::Coverage::Partial if requirements.can_be_passed_on => {
+            contact::Coverage::Partial
+                if requirements.may_be_passed_on
+                    && !self.members.hosts_reaching(requirements.service, now).is_empty() =>
+            {
                 Err(Refusal::Unreachable)
             }
             contact::Coverage::Partial | contact::Coverage::Full => Ok(()),
@@ -337,7 +343,10 @@
                 searches += 1;
                 match self.search(requirements, service, &queue, subset_size).await {
                     Ok(permit) => return Ok(permit),
-                    Err(Refusal::NoCapacity) => self.check_reach(requirements, Instant::now())?,
+                    Err(Refusal::NoCapacity) if searches % SEARCHES_PER_REACH_CHECK == 1 => {
+                        self.check_reach(requirements, Instant::now())?;
+                    }
+                    Err(Refusal::NoCapacity) => {}
                     // Waiting does not help while no upstream is eligible.
                     Err(refusal) => return Err(refusal),
                 }
--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -1,6 +1,7 @@
 //! Attempts a call at one upstream after another, and decides the reply to its caller.
 
 use std::net::SocketAddr;
+use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -89,7 +90,7 @@
 }
 
 /// What has been done for a call so far.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Progress {
     /// Attempts that have reached an upstream.
     sends: u32,
@@ -97,6 +98,10 @@
     /// Hosts that the call was passed to.
     hosts: u32,
     tried_upstreams: Vec<Rc<str>>,
+    /// The reply if no further attempt is made; `None` as long as the call has not run.
+    reply: Option<Reply>,
+    /// When the caller may retry if the call does not run.
+    retry_after: Duration,
 }
 
 /// Attempts a call at one upstream after another until it succeeds or must not be retried.
@@ -115,151 +120,191 @@
         tracing::warn!(event = "no_service", route = &*route.name, version = table.version);
         return Reply::REFUSED;
     };
-    let elapsed = task.terms.as_ref().map_or(Duration::ZERO, |terms| terms.elapsed);
+    let (elapsed, tried_upstreams) = match &task.terms {
+        Some(terms) => (terms.elapsed, terms.tried.clone()),
+        None => (Duration::ZERO, Vec::new()),
+    };
     let queue = frontend.balancer.queue(name);
     if !task.terms.as_ref().is_some_and(forward::Terms::is_retry) {
         queue.retries.record_call(started);
     }
+    let run = Run { frontend, table, task: &task, service: name, queue: &queue, started };
+    let mut progress = Progress {
+        sends: 0,
+        failed_connects: 0,
+        hosts: 0,
+        tried_upstreams,
+        reply: None,
+        retry_after: RETRY_AFTER,
+    };
     let min_time = route.latency_target.mul_f64(MIN_TIME_SHARE);
-    let mut progress = Progress::default();
-    if let Some(terms) = &task.terms {
-        progress.tried_upstreams.clone_from(&terms.tried);
-    }
-    let mut retry_after = RETRY_AFTER;
-    let mut reply = None;
     while progress.sends < task.max_attempts() && progress.failed_connects < MAX_FAILED_CONNECTS {
         if progress.sends > 0
             && !queue.retries.try_spend(Instant::now(), frontend.retry_allowance())
         {
             break;
         }
-        let may_pass_on = task.terms.is_none() && progress.hosts < MAX_HOSTS;
-        let other_host = || match may_pass_on {
-            true => frontend.forwarder.choose(name, Instant::now()),
-            false => None,
-        };
-        let queue_until = call.deadline.checked_sub(min_time).unwrap_or(call.deadline);
+        let may_be_passed_on = task.terms.is_none() && progress.hosts < MAX_HOSTS;
         let requirements = balancer::Requirements {
             service: name,
             priority: route.priority,
             tried_upstreams: &progress.tried_upstreams,
-            queue_until,
+            queue_until: call.deadline.checked_sub(min_time).unwrap_or(call.deadline),
             deadline: call.deadline,
             target_at: started.checked_sub(elapsed).unwrap_or(started) + route.latency_target,
             baseline: queue.baseline(route),
-            can_be_passed_on: other_host().is_some(),
+            may_be_passed_on,
         };
-        let permit = match frontend.balancer.acquire(&requirements, service).await {
-            Ok(permit) => permit,
+        let acquired = frontend.balancer.acquire(&requirements, service).await;
+        if caller_left.count() > 0 {
+            break;
+        }
+        let flow = match acquired {
+            Ok(permit) => run.attempt(permit, &mut progress).await,
             Err(refusal) => {
                 let host = match refusal {
-                    balancer::Refusal::Unreachable => other_host(),
+                    balancer::Refusal::Unreachable if may_be_passed_on => {
+                        frontend.forwarder.choose(name, Instant::now())
+                    }
                     _ => None,
                 };
-                if let (Some(host), 0) = (host, caller_left.count()) {
-                    if progress.sends == 0 && progress.hosts == 0 {
-                        queue.retries.withdraw_call(Instant::now());
-                    }
-                    let terms = forward::Terms {
-                        service: Rc::clone(name),
-                        version: table.version,
-                        attempts: task.max_attempts() - progress.sends,
-                        elapsed: started.elapsed(),
-                        tried: match progress.sends {
-                            0 => Vec::new(),
-                            _ => progress.tried_upstreams.clone(),
-                        },
-                    };
-                    progress.hosts += 1;
-                    let sent_at = Instant::now();
-                    let outcome = frontend.forwarder.send(call, &terms, host, caller_left).await;
-                    log_passed_on(call, route, name, host, &outcome, sent_at.elapsed());
-                    match outcome {
-                        forward::Outcome::Answered(response) => {
-                            if let Some(upstream) = &response.leaving {
-                                frontend.balancer.mark_leaving(upstream);
-                            }
-                            reply = Some(Reply::Response(response));
-                            break;
-                        }
-                        forward::Outcome::NotRun { retry_after: after, sends } => {
-                            retry_after = after.unwrap_or(retry_after);
-                            progress.sends += sends;
-                            continue;
-                        }
-                        forward::Outcome::Unknown(status) => {
-                            progress.sends += 1;
-                            reply = reply.or(Some(Reply::Unknown(status)));
-                            match call.idempotency {
-                                profile::Idempotency::AtMostOnce => break,
-                                profile::Idempotency::Idempotent => continue,
-                            }
-                        }
-                    }
+                match host {
+                    Some(host) => run.pass_on(host, caller_left, &mut progress).await,
+                    None => run.refuse(refusal, &mut progress),
                 }
-                log_refusal(call, route, name, refusal, progress.sends, started);
-                if let balancer::Refusal::RateLimited { retry_after: Some(time) }
-                | balancer::Refusal::Paused { retry_after: time } = refusal
-                {
-                    retry_after = time;
-                }
-                break;
             }
         };
-        if caller_left.count() > 0 {
+        if flow.is_break() {
             break;
         }
+    }
+    let not_run = Reply::NotRun { retry_after: progress.retry_after, sends: progress.sends };
+    progress.reply.unwrap_or(not_run)
+}
+
+/// The attempts of one call. Each method makes one step, and returns whether another may follow.
+struct Run<'a> {
+    frontend: &'a frontend::Frontend,
+    table: &'a route::Table,
+    task: &'a Task<'a>,
+    service: &'a Rc<str>,
+    queue: &'a balancer::Queue,
+    started: Instant,
+}
+
+impl Run<'_> {
+    /// Sends the call to an upstream.
+    async fn attempt(&self, permit: balancer::Permit, progress: &mut Progress) -> ControlFlow<()> {
+        let (frontend, table) = (self.frontend, self.table);
+        let (route, call) = (self.task.route, self.task.call);
         let sent_at = Instant::now();
         let was_sent_before = progress.tried_upstreams.contains(&permit.upstream.id);
         let outcome =
             attempt::send(call, &permit.upstream, &frontend.protocol, was_sent_before).await;
-        let waited = sent_at.saturating_duration_since(started);
+        let waited = sent_at.saturating_duration_since(self.started);
         log_attempt(call, route, table, &permit, &outcome, (waited, sent_at.elapsed()));
-        record_evidence(frontend, name, route, &permit, &outcome, sent_at.elapsed());
+        record_evidence(frontend, self.service, route, &permit, &outcome, sent_at.elapsed());
         progress.tried_upstreams.push(Rc::clone(&permit.upstream.id));
         let now = Instant::now();
+        let is_repeatable = call.idempotency == profile::Idempotency::Idempotent;
+        let mut may_continue = true;
+        let mut weight = FAILURE_WEIGHT;
         match outcome {
             attempt::Outcome::Answered(response) => {
                 progress.sends += 1;
-                let failed = response.status.is_server_error();
-                match failed {
-                    true => permit.upstream.record_failure(now, FAILURE_WEIGHT),
-                    false => {
-                        permit.upstream.record_success(now);
-                        queue.record_latency(route, permit.cost, sent_at.elapsed());
-                    }
-                }
-                reply = Some(Reply::Response(response));
-                if !failed || call.idempotency == profile::Idempotency::AtMostOnce {
-                    break;
+                let has_failed = response.status.is_server_error();
+                if !has_failed {
+                    permit.upstream.record_success(now);
+                    self.queue.record_latency(route, permit.cost, sent_at.elapsed());
+                    weight = 0.0;
                 }
+                may_continue = has_failed && is_repeatable;
+                progress.reply = Some(Reply::Response(response));
             }
-            attempt::Outcome::NotRun(attempt::Cause::Connect) => {
-                progress.failed_connects += 1;
-                permit.upstream.record_failure(now, FAILURE_WEIGHT);
-            }
+            // The call has not reached the upstream.
+            attempt::Outcome::NotRun(attempt::Cause::Connect) => progress.failed_connects += 1,
             attempt::Outcome::NotRun(cause) => {
                 progress.sends += 1;
-                let weight = match cause {
-                    attempt::Cause::Shed => SHED_WEIGHT,
-                    _ => FAILURE_WEIGHT,
-                };
-                permit.upstream.record_failure(now, weight);
-                retry_after = RETRY_AFTER_SHED;
+                progress.retry_after = RETRY_AFTER_SHED;
+                if cause == attempt::Cause::Shed {
+                    weight = SHED_WEIGHT;
+                }
             }
             attempt::Outcome::Unknown(_) => {
                 progress.sends += 1;
-                permit.upstream.record_failure(now, FAILURE_WEIGHT);
-                reply = reply.or(Some(Reply::Unknown(http::StatusCode::BAD_GATEWAY)));
-                if call.idempotency == profile::Idempotency::AtMostOnce {
-                    break;
+                may_continue = is_repeatable;
+                progress.reply.get_or_insert(Reply::Unknown(http::StatusCode::BAD_GATEWAY));
+            }
+        }
+        if weight > 0.0 {
+            permit.upstream.record_failure(now, weight);
+        }
+        flow(may_continue)
+    }
+
+    /// Passes the call to another host.
+    async fn pass_on(
+        &self,
+        host: SocketAddr,
+        caller_left: &notify::Notifier,
+        progress: &mut Progress,
+    ) -> ControlFlow<()> {
+        let (route, call) = (self.task.route, self.task.call);
+        if progress.sends == 0 && progress.hosts == 0 {
+            self.queue.retries.withdraw_call(Instant::now());
+        }
+        let terms = forward::Terms {
+            service: Rc::clone(self.service),
+            version: self.table.version,
+            attempts: self.task.max_attempts() - progress.sends,
+            elapsed: self.started.elapsed(),
+            tried: match progress.sends {
+                0 => Vec::new(),
+                _ => progress.tried_upstreams.clone(),
+            },
+        };
+        progress.hosts += 1;
+        let sent_at = Instant::now();
+        let outcome = self.frontend.forwarder.send(call, &terms, host, caller_left).await;
+        log_passed_on(call, route, self.service, host, &outcome, sent_at.elapsed());
+        match outcome {
+            forward::Outcome::Answered(response) => {
+                if let Some(upstream) = &response.leaving {
+                    self.frontend.balancer.mark_leaving(upstream);
                 }
+                progress.reply = Some(Reply::Response(response));
+                flow(false)
+            }
+            forward::Outcome::NotRun { retry_after, sends } => {
+                progress.retry_after = retry_after.unwrap_or(progress.retry_after);
+                progress.sends += sends;
+                flow(true)
             }
+            forward::Outcome::Unknown(status) => {
+                progress.sends += 1;
+                progress.reply.get_or_insert(Reply::Unknown(status));
+                flow(call.idempotency == profile::Idempotency::Idempotent)
+            }
+        }
+    }
+
+    /// Gives up on the call because of a refusal.
+    fn refuse(&self, refusal: balancer::Refusal, progress: &mut Progress) -> ControlFlow<()> {
+        let (route, call) = (self.task.route, self.task.call);
+        log_refusal(call, route, self.service, refusal, progress.sends, self.started);
+        if let balancer::Refusal::RateLimited { retry_after: Some(time) }
+        | balancer::Refusal::Paused { retry_after: time } = refusal
+        {
+            progress.retry_after = time;
         }
+        flow(false)
     }
-    match reply {
-        Some(reply) => reply,
-        None => Reply::NotRun { retry_after, sends: progress.sends },
+}
+
+fn flow(may_continue: bool) -> ControlFlow<()> {
+    match may_continue {
+        true => ControlFlow::Continue(()),
+        false => ControlFlow::Break(()),
     }
 }
 
--- a/crates/basilhaven/tests/gateway/selection.rs
+++ b/crates/basilhaven/tests/gateway/selection.rs
@@ -80,7 +80,7 @@
         deadline: now + ms(800),
         target_at: now + ms(250),
         baseline: ms(90),
-        can_be_passed_on: false,
+        may_be_passed_on: false,
     };
     assert!(requirements.accepts(1.3, now));
     assert!(!requirements.accepts(4.0, now), "360 ms for a target of 250");
