Soak: one reading of the system's tables finds the owners of all new connections

Each connection read the tables of sockets by itself, up to eight times, while a host was cut. Now one reading serves all connections accepted before it. The field changed_at in `reach` gets its name.

--- a/crates/basilhaven-bench/src/soak/proxy.rs
+++ b/crates/basilhaven-bench/src/soak/proxy.rs
@@ -3,7 +3,7 @@
 use std::io::{self, Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use nix::sys::socket;
 use std::os::fd::AsRawFd as _;
@@ -45,7 +45,8 @@
 /// The client of a connection.
 #[derive(Debug)]
 struct Client {
-    address: SocketAddr,
+    port: u16,
+    accepted_at: Instant,
     /// The process that has opened the connection, once it was looked up; `None` if it has closed
     /// the connection already.
     process: OnceLock<Option<u32>>,
@@ -110,7 +111,8 @@
         if self.links.are_open() {
             return *self.lock();
         }
-        let process = client.process.get_or_init(|| self.links.owner(client.address));
+        let process =
+            client.process.get_or_init(|| self.links.owner(client.port, client.accepted_at));
         let link = process.map(|process| self.links.link_of(process));
         match link {
             None | Some(Link::Open) => *self.lock(),
@@ -119,7 +121,11 @@
     }
 
     fn connect(&self, client: TcpStream, server: SocketAddr) -> io::Result<()> {
-        let opened_by = Arc::new(Client { address: client.peer_addr()?, process: OnceLock::new() });
+        let opened_by = Arc::new(Client {
+            port: client.peer_addr()?.port(),
+            accepted_at: Instant::now(),
+            process: OnceLock::new(),
+        });
         if matches!(self.link_for(&opened_by), Link::Resets | Link::ResetsNew) {
             return reset_on_close(&client);
         }
--- a/crates/basilhaven/src/gateway/reach.rs
+++ b/crates/basilhaven/src/gateway/reach.rs
@@ -37,7 +37,8 @@
 #[derive(Debug, Clone, Copy)]
 struct State {
     coverage: contact::Coverage,
-    is_lost_since: Instant,
+    /// When the service was last lost or reached again.
+    changed_at: Instant,
     is_announced: bool,
 }
 
@@ -69,13 +70,13 @@
         let mut states = self.states.borrow_mut();
         let known = states.entry(Rc::clone(service)).or_insert(State {
             coverage: contact::Coverage::Full,
-            is_lost_since: now,
+            changed_at: now,
             is_announced: false,
         });
         let was_lost = known.coverage == contact::Coverage::Lost;
         known.coverage = coverage;
         if is_lost != was_lost {
-            known.is_lost_since = now;
+            known.changed_at = now;
             let silent = upstreams.iter().filter(|u| u.contact.is_silent()).count();
             let (service, upstreams) = (&**service, upstreams.len());
             match is_lost {
@@ -101,7 +102,7 @@
         for state in states.values_mut() {
             let is_lost = state.coverage == contact::Coverage::Lost;
             let delay = if is_lost { LOST_DELAY } else { REGAINED_DELAY };
-            if now.saturating_duration_since(state.is_lost_since) >= delay {
+            if now.saturating_duration_since(state.changed_at) >= delay {
                 state.is_announced = is_lost;
             }
         }
