Count all attempts that were left when a passed call ends unknown

Cause: an unknown end at another host counted as one attempt, although that host may have made all that were left, and the call was passed on again.

Fix: an unknown end at another host ends the call.

Evidence: a_call_that_is_passed_on_has_no_more_attempts_than_its_route_allows sees three runs before, two after.

--- a/crates/basilhaven-bench/tests/gateway/stranded.rs
+++ b/crates/basilhaven-bench/tests/gateway/stranded.rs
@@ -172,3 +172,18 @@
         assert!(lost.is_none(), "a call that ran was cut: {lost:?}");
     });
 }
+
+#[test]
+fn a_call_that_is_passed_on_has_no_more_attempts_than_its_route_allows() {
+    block_on(async {
+        let system = System::start(45).await;
+        system.cut(&[0], Link::Resets);
+        monoio::time::sleep(GRACE).await;
+        let drops = Behaviour::DropsResponses;
+        system.upstreams.iter().for_each(|upstream| upstream.set_behaviour(drops));
+        monoio::time::sleep(WINDOW / 2).await;
+        let most_runs = system.most_runs();
+        system.callers.finish();
+        assert_eq!(most_runs, 2, "a call ran {most_runs} times");
+    });
+}
--- a/crates/basilhaven/src/gateway/forward.rs
+++ b/crates/basilhaven/src/gateway/forward.rs
@@ -54,7 +54,7 @@
 /// The most idle connections to one host.
 const MAX_IDLE_CONNS: usize = 16;
 
-/// How long a host that has not taken a call is passed over.
+/// How long a host that has not answered a call is chosen only if there is no other.
 const AVOID_TIME: Duration = Duration::from_millis(500);
 
 /// The calls in progress at a host that another host may have more before it is passed over for the
@@ -268,13 +268,13 @@
         let mut candidates = self.members.hosts_reaching(service, now);
         let peers = self.peers.borrow();
         let is_avoided = |peer: &Rc<Peer>| peer.avoided_until.get().is_some_and(|at| now < at);
-        candidates.retain(|candidate| !peers.get(&candidate.peer).is_some_and(is_avoided));
         fastrand::shuffle(&mut candidates);
         let load = |candidate: &cluster::Candidate| {
             let in_progress = peers.get(&candidate.peer).map_or(0, |peer| peer.in_progress.get());
             let remote = if candidate.is_local { 0 } else { REMOTE_PENALTY };
             let unadvertised = if candidate.is_advertised { 0 } else { UNADVERTISED_PENALTY };
-            in_progress + remote + unadvertised
+            let is_avoided = peers.get(&candidate.peer).is_some_and(is_avoided);
+            (is_avoided, in_progress + remote + unadvertised)
         };
         candidates.iter().min_by_key(|candidate| load(candidate)).map(|candidate| candidate.peer)
     }
--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -280,10 +280,10 @@
                 progress.sends += sends;
                 flow(true)
             }
+            // The other host may have made all attempts that were left.
             forward::Outcome::Unknown(status) => {
-                progress.sends += 1;
                 progress.reply.get_or_insert(Reply::Unknown(status));
-                flow(call.idempotency == profile::Idempotency::Idempotent)
+                flow(false)
             }
         }
     }
