--- a/crates/basilhaven-bench/tests/gateway/stranded.rs
+++ b/crates/basilhaven-bench/tests/gateway/stranded.rs
@@ -1,6 +1,7 @@
 //! Checks that callers are served by hosts that have lost their links to the upstreams.
 
-use std::sync::{Arc, Mutex};
+use std::future::Future;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use basilhaven_bench::process::Signal;
@@ -25,6 +26,17 @@
 /// Callers, each of which makes about 20 calls per second.
 const CALLERS: usize = 9;
 
+/// The tests take turns: each reads the system's table of sockets for every new connection.
+static TURN: Mutex<()> = Mutex::new(());
+
+fn run_in_turn<F>(test: F)
+where
+    F: Future<Output = ()>,
+{
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    block_on(test);
+}
+
 /// Three hosts with links of their own to the upstreams, and callers at all hosts.
 struct System {
     _store: Store,
@@ -138,22 +150,22 @@
 
 #[test]
 fn callers_of_a_host_whose_links_to_all_upstreams_hang_are_served() {
-    block_on(check_cut(41, &[0], Link::Blackhole));
+    run_in_turn(check_cut(41, &[0], Link::Blackhole));
 }
 
 #[test]
 fn callers_of_two_of_three_hosts_whose_links_to_all_upstreams_are_reset_are_served() {
-    block_on(check_cut(42, &[0, 2], Link::Resets));
+    run_in_turn(check_cut(42, &[0, 2], Link::Resets));
 }
 
 #[test]
 fn callers_of_a_host_that_gets_no_new_connection_to_any_upstream_are_served() {
-    block_on(check_cut(43, &[1], Link::ResetsNew));
+    run_in_turn(check_cut(43, &[1], Link::ResetsNew));
 }
 
 #[test]
 fn a_planned_stop_of_a_host_that_serves_calls_of_a_cut_one_cuts_no_call() {
-    block_on(async {
+    run_in_turn(async {
         let system = System::start(44).await;
         system.cut(&[0], Link::Blackhole);
         monoio::time::sleep(GRACE).await;
@@ -175,7 +187,7 @@
 
 #[test]
 fn a_call_that_is_passed_on_has_no_more_attempts_than_its_route_allows() {
-    block_on(async {
+    run_in_turn(async {
         let system = System::start(45).await;
         system.cut(&[0], Link::Resets);
         monoio::time::sleep(GRACE).await;
