--- /dev/null
+++ b/review/standin/server.rs
@@ -0,0 +1,328 @@
+//! A stand-in for a backend.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::http::{Conn, Head};
+use crate::record::Record;
+use crate::store::Store;
+
+const ID: &str = "X-Basilhaven-Request-Id";
+const SIGNATURE: (&str, &str) = ("X-Basilhaven-Server-Signature", "3e1b.07.5a2.600.0.c9f2a4d1");
+const NOT_EXECUTED: (&str, &str) = ("X-Basilhaven-Not-Executed", "1");
+const LOAD: &str = "X-Basilhaven-Backend-Load";
+
+pub const SLOTS: usize = 4;
+const QUEUE: usize = 8;
+
+extern "C" {
+    fn setsockopt(fd: i32, level: i32, name: i32, value: *const [i32; 2], len: u32) -> i32;
+}
+
+/// Makes the close of a connection send a reset.
+fn reset_on_close(stream: &TcpStream) {
+    const SOL_SOCKET: i32 = 1;
+    const SO_LINGER: i32 = 13;
+    let linger = [1, 0];
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &linger, 8) };
+}
+
+/// A request that a backend has run.
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub id: String,
+    pub server: String,
+    pub service: String,
+    pub version: String,
+    /// Whether it was answered 500.
+    pub is_bad: bool,
+    pub at: f64,
+}
+
+/// Hosts that are partitioned from all backends, by process; new connections of these are reset.
+#[derive(Clone, Default)]
+pub struct Links {
+    state: Arc<Mutex<(Vec<u32>, Vec<(u32, TcpStream)>)>>,
+    hosts: Arc<Mutex<Vec<u32>>>,
+}
+
+impl Links {
+    pub fn set_hosts(&self, hosts: Vec<u32>) {
+        *self.hosts.lock().unwrap() = hosts;
+    }
+
+    /// Partitions a host from all backends: its open connections and all new ones are reset.
+    pub fn cut(&self, host: u32) {
+        let mut state = self.state.lock().unwrap();
+        state.0.push(host);
+        for (owner, stream) in &state.1 {
+            if *owner == host {
+                reset_on_close(stream);
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
+    pub fn heal(&self) {
+        self.state.lock().unwrap().0.clear();
+    }
+
+    /// Records a new connection; returns whether its host is partitioned.
+    fn is_cut(&self, stream: &TcpStream) -> bool {
+        let hosts = self.hosts.lock().unwrap().clone();
+        if hosts.is_empty() {
+            return false;
+        }
+        let owner = stream.peer_addr().ok().and_then(|peer| owner(peer.port(), &hosts));
+        let Some(owner) = owner else { return false };
+        let mut state = self.state.lock().unwrap();
+        if let Ok(copy) = stream.try_clone() {
+            state.1.push((owner, copy));
+        }
+        state.0.contains(&owner)
+    }
+}
+
+/// Returns the process among `hosts` that has opened the connection from this port.
+fn owner(port: u16, hosts: &[u32]) -> Option<u32> {
+    let table = std::fs::read_to_string("/proc/net/tcp").ok()?;
+    let inode = table.lines().find_map(|row| {
+        let fields: Vec<&str> = row.split_whitespace().take(10).collect();
+        let own = u16::from_str_radix(fields.get(1)?.split(':').nth(1)?, 16).ok()?;
+        (own == port && *fields.get(9)? != "0").then(|| format!("socket:[{}]", fields[9]))
+    })?;
+    hosts.iter().copied().find(|host| {
+        let descriptors = std::fs::read_dir(format!("/proc/{host}/fd"));
+        descriptors.into_iter().flatten().flatten().any(|entry| {
+            std::fs::read_link(entry.path()).is_ok_and(|target| target.as_os_str() == &*inode)
+        })
+    })
+}
+
+/// What a backend does beside serving.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Faults {
+    /// Answers that turn a request away are sent again when the next request of the connection
+    /// arrives.
+    pub repeats_rejections: bool,
+    /// Share of the requests that are answered 500.
+    pub fails: f64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    running: usize,
+    waiting: usize,
+    faults: Faults,
+    work: Duration,
+}
+
+#[derive(Clone)]
+pub struct Server {
+    pub id: String,
+    pub service: String,
+    pub zone: String,
+    pub address: SocketAddr,
+    version: Arc<Mutex<String>>,
+    born: u128,
+    state: Arc<(Mutex<State>, Condvar)>,
+    runs: Arc<Mutex<Vec<Run>>>,
+    record: Record,
+}
+
+impl Server {
+    pub fn start(
+        id: &str,
+        service: &str,
+        zone: &str,
+        work: Duration,
+        links: &Links,
+        record: &Record,
+    ) -> io::Result<Server> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let state = State { work, ..State::default() };
+        let server = Server {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            zone: zone.to_owned(),
+            address: listener.local_addr()?,
+            version: Arc::new(Mutex::new("v1".to_owned())),
+            born: SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis(),
+            state: Arc::new((Mutex::new(state), Condvar::new())),
+            runs: Arc::default(),
+            record: record.clone(),
+        };
+        let (served, links) = (server.clone(), links.clone());
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (server, links) = (served.clone(), links.clone());
+                std::thread::spawn(move || match links.is_cut(&stream) {
+                    true => reset_on_close(&stream),
+                    false => drop(server.serve(Conn::new(stream))),
+                });
+            }
+        });
+        Ok(server)
+    }
+
+    /// Sets the version that its entry names; to be called before it serves.
+    pub fn with_version(self, version: &str) -> Server {
+        *self.version.lock().unwrap() = version.to_owned();
+        self
+    }
+
+    fn version(&self) -> String {
+        self.version.lock().unwrap().clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.0.lock().unwrap()
+    }
+
+    pub fn set_faults(&self, faults: Faults) {
+        self.lock().faults = faults;
+    }
+
+    pub fn set_work(&self, work: Duration) {
+        self.lock().work = work;
+    }
+
+    pub fn runs(&self) -> Vec<Run> {
+        self.runs.lock().unwrap().clone()
+    }
+
+    fn entry(&self, sequence: u64) -> String {
+        let Server { service, address, zone, born, .. } = self;
+        let version = self.version();
+        format!(
+            "{{\"Service\":\"{service}\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\
+             \"Version\":\"{version}\",\"Slots\":{SLOTS},\"State\":\"ready\",\"ColdRemainingS\":0,\
+             \"Seq\":{sequence},\"born\":{born}}}"
+        )
+    }
+
+    fn load(&self) -> String {
+        let state = self.lock();
+        format!("{},{},{SLOTS},100", state.running, state.waiting)
+    }
+
+    fn serve(&self, mut conn: Conn) -> io::Result<()> {
+        let mut repeated: Option<String> = None;
+        while let Some(head) = conn.read_head()? {
+            let body = conn.read_body(&head)?;
+            if let Some(id) = repeated.take() {
+                self.record.line(&format!("{} sends its 503 for {id} a second time", self.id));
+                conn.respond(503, &[(ID, &id), NOT_EXECUTED], b"")?;
+            }
+            if head.path() == "/healthz" {
+                let load = self.load();
+                conn.respond(200, &[("X-Basilhaven-Instance-Id", &self.id), (LOAD, &load)], b"")?;
+                continue;
+            }
+            repeated = self.call(&mut conn, &head, body.len())?;
+        }
+        Ok(())
+    }
+
+    /// Serves a request; returns its id if the answer is to be sent again.
+    fn call(&self, conn: &mut Conn, head: &Head, body_len: usize) -> io::Result<Option<String>> {
+        let id = head.field("x-basilhaven-request-id").unwrap_or_default().to_owned();
+        let expected = head.field("x-basilhaven-expected-instance");
+        if expected.is_some_and(|expected| expected != self.id) {
+            let fields = [(ID, &*id), ("X-Basilhaven-Instance-Id", &*self.id), NOT_EXECUTED];
+            conn.respond(421, &fields, b"")?;
+            return Ok(None);
+        }
+        let ms = head.field("x-basilhaven-deadline-ms").and_then(|ms| ms.parse().ok());
+        let deadline = Instant::now() + Duration::from_millis(ms.unwrap_or(10_000));
+        let Some((work, faults)) = self.take_slot(deadline) else {
+            let faults = self.lock().faults;
+            self.record.line(&format!("{} is full: 503 for {id}", self.id));
+            let load = self.load();
+            conn.respond(503, &[(ID, &id), NOT_EXECUTED, (LOAD, &load)], b"")?;
+            return Ok(faults.repeats_rejections.then_some(id));
+        };
+        let version = self.version();
+        let is_bad = fraction(&id) < faults.fails;
+        let line = format!("{} ({} {version}) runs {id} {}", self.id, self.service, head.path());
+        self.record.line(&line);
+        let run = Run {
+            id: id.clone(),
+            server: self.id.clone(),
+            service: self.service.clone(),
+            version,
+            is_bad,
+            at: self.record.now(),
+        };
+        self.runs.lock().unwrap().push(run);
+        std::thread::sleep(work);
+        {
+            let mut state = self.lock();
+            state.running -= 1;
+            self.state.1.notify_one();
+        }
+        let load = self.load();
+        let content = format!("{id} by {}, {body_len} bytes", self.id);
+        let status = if is_bad { 500 } else { 200 };
+        conn.respond(status, &[(ID, &id), SIGNATURE, (LOAD, &load)], content.as_bytes())?;
+        Ok(None)
+    }
+
+    /// Waits for a slot; `None` if the queue is full, or the deadline passes first.
+    fn take_slot(&self, deadline: Instant) -> Option<(Duration, Faults)> {
+        let mut state = self.lock();
+        if state.running >= SLOTS && state.waiting >= QUEUE {
+            return None;
+        }
+        state.waiting += 1;
+        while state.running >= SLOTS {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                state.waiting -= 1;
+                return None;
+            }
+            state = self.state.1.wait_timeout(state, left).unwrap().0;
+        }
+        state.waiting -= 1;
+        state.running += 1;
+        Some((state.work, state.faults))
+    }
+}
+
+/// Returns a number between 0 and 1 that follows from a request's id.
+fn fraction(id: &str) -> f64 {
+    let hash = id.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    ((hash >> 20) % 1000) as f64 / 1000.0
+}
+
+/// Writes the entries of backends to the store every 1.5 s.
+pub fn beat(servers: &[Server], store: &Store) {
+    let (servers, store) = (servers.to_vec(), store.clone());
+    let write = move |sequence| {
+        for server in &servers {
+            store.put("servers", &server.id, &server.entry(sequence));
+        }
+    };
+    write(1);
+    std::thread::spawn(move || {
+        for sequence in 2.. {
+            std::thread::sleep(Duration::from_millis(1500));
+            write(sequence);
+        }
+    });
+}
+
+/// Counts the runs of each request.
+pub fn runs_by_id(servers: &[Server]) -> BTreeMap<String, Vec<Run>> {
+    let mut all: BTreeMap<String, Vec<Run>> = BTreeMap::new();
+    for run in servers.iter().flat_map(Server::runs) {
+        all.entry(run.id.clone()).or_default().push(run);
+    }
+    all
+}
