--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,9 +1,11 @@
 //! Runs one case of the review: `standin CASE FOLDER`. Exits with 0 if the rule held, 1 if it was
 //! broken, and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
+mod abort;
 mod client;
 mod http;
 mod json;
+mod many;
 mod configuration;
 mod record;
 mod rollout;
@@ -29,7 +31,9 @@
         let logs = std::env::var("LOGS").unwrap_or_else(|_| "/tmp".to_owned());
         match &*case {
             "lost-answer" => configuration::lost_answer(&record, &logs, has_trouble),
+            "abort" => abort::run(&record, &logs, has_trouble),
             "bad-version" => rollout::run(&record, &logs, has_trouble),
+            "many-services" => many::run(&record, &logs, has_trouble),
             "restored" => configuration::restored(&record, &logs, has_trouble),
             other => Err(format!("there is no case {other:?}")),
         }
@@ -79,3 +83,16 @@
         .collect();
     config(version, service, &routes)
 }
+
+/// Returns a configuration of this version with many more services, none of which takes requests.
+pub fn services_config(version: u64, service: &str, count: usize) -> String {
+    let more: String = (0..count)
+        .map(|n| {
+            format!(
+                "{{\"Name\":\"bindery-por{n:03}\",\"HealthPath\":\"/healthz\",\"MaxConns\":220,\
+                 \"Protocol\":\"h1\",\"Tls\":false,\"ColdStartS\":3.0,\"ColdPerS\":13.0}},"
+            )
+        })
+        .collect();
+    config(version, service, "").replacen("\"Services\":[", &format!("\"Services\":[{more}"), 1)
+}
--- a/review/standin/rollout.rs
+++ b/review/standin/rollout.rs
@@ -1,4 +1,5 @@
-//! A bad version of a service whose requests are spread over many routes.
+//! A bad version of a service whose requests are spread over many routes, and the rule on bad
+//! versions.
 
 use std::time::{Duration, Instant};
 
@@ -6,7 +7,7 @@
 use crate::server::{self, Faults, Links, Server};
 use crate::store::Store;
 use crate::system::Host;
-use crate::traffic::{Paths, Traffic};
+use crate::traffic::{Paths, Request, Traffic};
 use crate::{routes_config, system, Verdict};
 
 const SERVICE: &str = "huvo11a";
@@ -29,6 +30,58 @@
     std::thread::sleep(Duration::from_secs_f64(seconds));
 }
 
+/// Writes each change of the report on a move to the record, for so many seconds.
+pub fn watch_report(store: &Store, service: &str, seconds: f64, record: &Record) {
+    let mut known = String::new();
+    let until = Instant::now() + Duration::from_secs_f64(seconds);
+    while Instant::now() < until {
+        let report = store.get("status", &format!("rollout/{service}")).unwrap_or_default();
+        if report != known {
+            record.say(&format!("status/rollout/{service}: {report}"));
+            known = report;
+        }
+        pause(0.05);
+    }
+}
+
+/// The order of a version, by which the rule on bad versions judges.
+pub struct Exposure {
+    pub version: &'static str,
+    pub ordered: f64,
+    pub deadline: f64,
+}
+
+impl Exposure {
+    /// Judges what a version got as the rule does. A version without bad answers may get all.
+    pub fn judge(&self, servers: &[Server], requests: &[Request], record: &Record) -> Verdict {
+        let version = self.version;
+        let mut runs: Vec<server::Run> = servers.iter().flat_map(Server::runs).collect();
+        runs.sort_by(|a, b| a.at.total_cmp(&b.at));
+        let is_during = |run: &&server::Run| run.at >= self.ordered && run.at < self.deadline;
+        let all = runs.iter().filter(is_during).count();
+        let got = runs.iter().filter(is_during).filter(|run| run.version == version).count();
+        let allowed = EXPOSURE_SHARE * all as f64 + EXPOSURE_SLACK;
+        let bad: Vec<f64> = runs.iter().filter(|run| run.is_bad).map(|run| run.at).collect();
+        record.say(&format!(
+            "{version} got {got} of {all} requests until the deadline of its order, {allowed:.0} are \
+             allowed; {} of its answers were bad",
+            bad.len()
+        ));
+        let late = bad.get(49).map_or(0, |fiftieth| {
+            let sent_late = |run: &&server::Run| {
+                let request = requests.iter().find(|request| request.id == run.id);
+                run.version == version && request.is_some_and(|r| r.sent > fiftieth + ROLLBACK)
+            };
+            runs.iter().filter(sent_late).count()
+        });
+        record.say(&format!("it got {late} requests sent more than 5 s after its 50th bad answer"));
+        match !bad.is_empty() && (got as f64 > allowed || late > 0) {
+            true => Verdict::Broken,
+            false => Verdict::Held,
+        }
+    }
+}
+
 pub fn run(record: &Record, logs: &str, has_trouble: bool) -> Result<Verdict, String> {
     let store = Store::start().map_err(|e| e.to_string())?;
     store.put("op", "config", &routes_config(7, SERVICE, ROUTES));
@@ -44,9 +97,13 @@
     record.say("the hosts are ready");
     pause(4.0);
     let fronts: Vec<_> = hosts.iter().map(Host::front).collect();
-    let paths = Paths::Spread(ROUTES);
-    let traffic = Traffic::start(&fronts, 4, Duration::from_millis(90), ("POST", paths, 1000), record);
+    let request = ("POST", Paths::Spread(ROUTES), 1000);
+    let traffic = Traffic::start(&fronts, 4, Duration::from_millis(90), request, record);
     pause(3.0);
+    let order = format!("{{\"Service\":\"{SERVICE}\",\"To\":\"v2\",\"RampDurationS\":{DURATION}}}");
+    store.put("op", &format!("rollout/{SERVICE}"), &order);
+    let ordered = record.now();
+    record.say("the order to move to v2 is acknowledged");
     let new: Vec<Server> = (9..18).map(|n| start(n, "v2")).collect::<Result<_, _>>()?;
     if has_trouble {
         let faults = Faults { fails: BAD_SHARE, ..Faults::default() };
@@ -54,43 +111,8 @@
     }
     server::beat(&new, &store);
     servers.extend(new);
-    pause(3.0);
-    let order = format!("{{\"Service\":\"{SERVICE}\",\"To\":\"v2\",\"RampDurationS\":{DURATION}}}");
-    store.put("op", &format!("rollout/{SERVICE}"), &order);
-    let ordered = record.now();
-    record.say("the order to move to v2 is acknowledged");
-    let mut state = String::new();
-    let until = Instant::now() + Duration::from_secs_f64(DURATION + 4.0);
-    while Instant::now() < until {
-        let report = store.get("status", &format!("rollout/{SERVICE}")).unwrap_or_default();
-        if report != state {
-            record.say(&format!("status/rollout/{SERVICE}: {report}"));
-            state = report;
-        }
-        pause(0.05);
-    }
+    watch_report(&store, SERVICE, DURATION + 4.0, record);
     let requests = traffic.finish();
-    let mut runs: Vec<_> = servers.iter().flat_map(Server::runs).collect();
-    runs.sort_by(|a, b| a.at.total_cmp(&b.at));
-    let during: Vec<_> = runs.iter().filter(|r| r.at >= ordered && r.at < ordered + DURATION).collect();
-    let at_new = during.iter().filter(|run| run.version == "v2").count();
-    let allowed = EXPOSURE_SHARE * during.len() as f64 + EXPOSURE_SLACK;
-    record.say(&format!("{} requests reached the service until the deadline, {at_new} of them v2", during.len()));
-    if !has_trouble {
-        // A good version may get all requests.
-        let failed = requests.iter().filter(|r| r.answer.status != 200).count();
-        record.say(&format!("{failed} of {} requests were not answered 200", requests.len()));
-        return Ok(Verdict::Held);
-    }
-    let bad = runs.iter().filter(|run| run.is_bad).nth(49).map(|run| run.at);
-    let late = bad.map_or(0, |bad| {
-        let sent_late = |run: &&server::Run| {
-            let sent = requests.iter().find(|request| request.id == run.id).map(|r| r.sent);
-            run.version == "v2" && sent.is_some_and(|sent| sent > bad + ROLLBACK)
-        };
-        runs.iter().filter(sent_late).count()
-    });
-    record.say(&format!("allowed were {allowed:.0} requests at v2"));
-    record.say(&format!("the 50th bad answer: {bad:?}; v2 got {late} requests sent more than 5 s later"));
-    Ok(if at_new as f64 > allowed || late > 0 { Verdict::Broken } else { Verdict::Held })
+    let exposure = Exposure { version: "v2", ordered, deadline: ordered + DURATION };
+    Ok(exposure.judge(&servers, &requests, record))
 }
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -119,6 +119,7 @@
     waiting: usize,
     faults: Faults,
     work: Duration,
+    cold_until: Option<Instant>,
 }
 
 #[derive(Clone)]
@@ -191,6 +192,16 @@
         self.lock().work = work;
     }
 
+    /// Makes it cold for this time. It works at half its speed meanwhile.
+    pub fn become_cold(&self, time: Duration) {
+        self.lock().cold_until = Some(Instant::now() + time);
+    }
+
+    fn cold_remaining(&self) -> Duration {
+        let until = self.lock().cold_until;
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()))
+    }
+
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().unwrap().clone()
     }
@@ -198,9 +209,10 @@
     fn entry(&self, sequence: u64) -> String {
         let Server { service, address, zone, born, .. } = self;
         let version = self.version();
+        let cold = self.cold_remaining().as_secs_f64();
         format!(
             "{{\"Service\":\"{service}\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\
-             \"Version\":\"{version}\",\"Slots\":{SLOTS},\"State\":\"ready\",\"ColdRemainingS\":0,\
+             \"Version\":\"{version}\",\"Slots\":{SLOTS},\"State\":\"ready\",\"ColdRemainingS\":{cold:.3},\
              \"Seq\":{sequence},\"born\":{born}}}"
         )
     }
@@ -220,7 +232,12 @@
             }
             if head.path() == "/healthz" {
                 let load = self.load();
-                conn.respond(200, &[("X-Basilhaven-Instance-Id", &self.id), (LOAD, &load)], b"")?;
+                let cold = self.cold_remaining().as_millis().to_string();
+                let mut fields = vec![("X-Basilhaven-Instance-Id", &*self.id), (LOAD, &*load)];
+                if cold != "0" {
+                    fields.push(("X-Basilhaven-Cold-Start-Ms", &*cold));
+                }
+                conn.respond(200, &fields, b"")?;
                 continue;
             }
             repeated = self.call(&mut conn, &head, body.len())?;
@@ -259,7 +276,8 @@
             at: self.record.now(),
         };
         self.runs.lock().unwrap().push(run);
-        std::thread::sleep(work);
+        let is_cold = !self.cold_remaining().is_zero();
+        std::thread::sleep(if is_cold { work * 2 } else { work });
         {
             let mut state = self.lock();
             state.running -= 1;
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -67,7 +67,7 @@
     pub fn start() -> io::Result<Store> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let mut state = State { era: 1, ..State::default() };
-        state.content.version = 1;
+        state.content.version = 3_000_000;
         let store = Store {
             address: listener.local_addr()?,
             state: Arc::new((Mutex::new(state), Condvar::new())),
--- a/review/standin/system.rs
+++ b/review/standin/system.rs
@@ -62,6 +62,13 @@
         get((self.ip, self.port + READY).into(), "/readyz").is_ok_and(|(status, _)| status == 200)
     }
 
+    /// Returns how many hosts it takes for live, itself included.
+    pub fn live_hosts(&self) -> String {
+        let page = get((self.ip, self.port + METRICS).into(), "/metrics").unwrap_or_default().1;
+        let line = page.lines().find_map(|line| line.strip_prefix("basilhaven_live_hosts "));
+        line.unwrap_or("?").to_owned()
+    }
+
     /// Returns the resident memory of the process in MB.
     pub fn memory_mb(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.id()));
