--- a/review/standin/abort.rs
+++ b/review/standin/abort.rs
@@ -4,7 +4,7 @@
 
 use crate::record::Record;
 use crate::rollout::{self, Exposure};
-use crate::server::{self, Faults, Links, Server};
+use crate::server::{self, Faults, Server};
 use crate::store::Store;
 use crate::system::Host;
 use crate::traffic::{Paths, Traffic};
@@ -28,7 +28,7 @@
     let zones = ["milano-a", "torino-b", "bergamo-c"];
     let start = |n: usize, version: &str| {
         let (id, work) = (format!("i-{n:08x}"), Duration::from_millis(60));
-        let server = Server::start(&id, SERVICE, zones[n % 3], work, &Links::default(), record);
+        let server = Server::start(&id, SERVICE, zones[n % 3], work, record);
         server.map(|server| server.with_version(version)).map_err(|e| e.to_string())
     };
     let mut servers: Vec<Server> = (0..9).map(|n| start(n, "v1")).collect::<Result<_, _>>()?;
@@ -41,7 +41,8 @@
     let traffic = Traffic::start(&fronts, 4, Duration::from_millis(40), request, record);
     pause(3.0);
     let order = |to: &str| {
-        let order = format!("{{\"Service\":\"{SERVICE}\",\"To\":\"{to}\",\"RampDurationS\":{DURATION}}}");
+        let order =
+            format!("{{\"Service\":\"{SERVICE}\",\"To\":\"{to}\",\"RampDurationS\":{DURATION}}}");
         store.put("op", &format!("rollout/{SERVICE}"), &order);
         record.say(&format!("the order to move to {to} is acknowledged"));
     };
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -10,8 +10,6 @@
 #[derive(Debug, Clone, Default)]
 pub struct Answer {
     pub status: u16,
-    pub body: String,
-    pub is_signed: bool,
     pub error: String,
 }
 
@@ -62,13 +60,9 @@
         message.extend_from_slice(body);
         conn.stream.write_all(&message)?;
         let head = conn.read_head()?.ok_or(io::ErrorKind::UnexpectedEof)?;
-        let body = conn.read_body(&head)?;
-        let answer = Answer {
-            status: head.line[1].parse().unwrap_or(0),
-            body: String::from_utf8_lossy(&body).into_owned(),
-            is_signed: head.field("x-basilhaven-server-signature").is_some(),
-            error: String::new(),
-        };
+        conn.read_body(&head)?;
+        let status = head.line[1].parse().unwrap_or(0);
+        let answer = Answer { status, error: String::new() };
         if head.field("connection").is_some_and(|value| value.eq_ignore_ascii_case("close")) {
             self.conn = None;
         }
--- a/review/standin/configuration.rs
+++ b/review/standin/configuration.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::record::Record;
-use crate::server::{self, Links, Server};
+use crate::server::{self, Server};
 use crate::store::Store;
 use crate::system::Host;
 use crate::traffic::{Paths, Request, Traffic};
@@ -39,8 +39,8 @@
     let zones = ["milano-a", "torino-b", "bergamo-c"];
     let servers = (0..10).map(|n| {
         let (id, service) = (format!("i-{n:08x}"), if n < 6 { OLD } else { NEW });
-        let (work, links) = (Duration::from_millis(60), Links::default());
-        Server::start(&id, service, zones[n % 3], work, &links, record).map_err(|e| e.to_string())
+        let work = Duration::from_millis(60);
+        Server::start(&id, service, zones[n % 3], work, record).map_err(|e| e.to_string())
     });
     let servers: Vec<Server> = servers.collect::<Result<_, _>>()?;
     server::beat(&servers, &store);
@@ -65,7 +65,8 @@
 
 fn report(record: &Record, hosts: &[Host], requests: &[Request], broken: &[Request], from: f64) {
     for (number, host) in hosts.iter().enumerate() {
-        let of_host = |all: &[Request]| all.iter().filter(|r| r.host == number && r.sent > from).count();
+        let of_host =
+            |all: &[Request]| all.iter().filter(|r| r.host == number && r.sent > from).count();
         record.say(&format!(
             "{}: {} requests were sent after {from:.3}; {} of them were run by the old service",
             host.name,
@@ -74,7 +75,10 @@
         ));
     }
     for request in broken.iter().take(1).chain(broken.last()) {
-        record.say(&format!("{} was sent at {:.3} and run by the old service", request.id, request.sent));
+        record.say(&format!(
+            "{} was sent at {:.3} and run by the old service",
+            request.id, request.sent
+        ));
     }
 }
 
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -23,7 +23,11 @@
 
     pub fn parameter(&self, name: &str) -> Option<&str> {
         let (_, query) = self.line[1].split_once('?')?;
-        query.split('&').filter_map(|pair| pair.split_once('=')).find(|(n, _)| *n == name).map(|p| p.1)
+        query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(n, _)| *n == name)
+            .map(|p| p.1)
     }
 }
 
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,10 +3,10 @@
 
 mod abort;
 mod client;
+mod configuration;
 mod http;
 mod json;
 mod many;
-mod configuration;
 mod record;
 mod rollout;
 mod server;
--- a/review/standin/many.rs
+++ b/review/standin/many.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::record::Record;
-use crate::server::{self, Links, Server};
+use crate::server::{self, Server};
 use crate::store::Store;
 use crate::system::Host;
 use crate::traffic::{Paths, Traffic};
@@ -26,11 +26,10 @@
 pub fn run(record: &Record, logs: &str, has_trouble: bool) -> Result<Verdict, String> {
     let store = Store::start().map_err(|e| e.to_string())?;
     store.put("op", "config", &services_config(7, SERVICE, SERVICES));
-    let zones = ["milano-a", "torino-b", "bergamo-c", "milano-a", "torino-b", "bergamo-c"];
+    let zones = ["milano-a", "torino-b", "bergamo-c", "brescia-d"].repeat(2);
     let servers = (0..4).map(|n| {
         let (id, work) = (format!("i-{n:08x}"), Duration::from_millis(30));
-        Server::start(&id, SERVICE, zones[n % 3], work, &Links::default(), record)
-            .map_err(|e| e.to_string())
+        Server::start(&id, SERVICE, zones[n], work, record).map_err(|e| e.to_string())
     });
     let servers: Vec<Server> = servers.collect::<Result<_, _>>()?;
     server::beat(&servers, &store);
@@ -60,10 +59,18 @@
         let (from, to) = (record.now(), record.now() + 3.0);
         record.say(&format!("{} is cold for 3 s", cold.id));
         pause(5.0);
-        let at: Vec<f64> = cold.runs().iter().map(|r| r.at).filter(|at| *at >= from + 0.1 && *at < to).collect();
-        let most = at.iter().map(|start| at.iter().filter(|at| **at >= *start && **at < start + 1.0).count()).max();
+        let at: Vec<f64> =
+            cold.runs().iter().map(|r| r.at).filter(|at| *at >= from + 0.1 && *at < to).collect();
+        let most = at
+            .iter()
+            .map(|start| at.iter().filter(|at| **at >= *start && **at < start + 1.0).count())
+            .max();
         let most = most.unwrap_or(0);
-        record.say(&format!("{} ran {} requests while it was cold, {most} of them within one second", cold.id, at.len()));
+        record.say(&format!(
+            "{} ran {} requests while it was cold, {most} of them within one second",
+            cold.id,
+            at.len()
+        ));
         worst = worst.max(most);
     }
     traffic.finish();
--- a/review/standin/rollout.rs
+++ b/review/standin/rollout.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::record::Record;
-use crate::server::{self, Faults, Links, Server};
+use crate::server::{self, Faults, Server};
 use crate::store::Store;
 use crate::system::Host;
 use crate::traffic::{Paths, Request, Traffic};
@@ -88,7 +88,7 @@
     let zones = ["milano-a", "torino-b", "bergamo-c"];
     let start = |n: usize, version: &str| {
         let (id, work) = (format!("i-{n:08x}"), Duration::from_millis(60));
-        let server = Server::start(&id, SERVICE, zones[n % 3], work, &Links::default(), record);
+        let server = Server::start(&id, SERVICE, zones[n % 3], work, record);
         server.map(|server| server.with_version(version)).map_err(|e| e.to_string())
     };
     let mut servers: Vec<Server> = (0..9).map(|n| start(n, "v1")).collect::<Result<_, _>>()?;
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -2,8 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::os::fd::AsRawFd;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -19,23 +18,10 @@
 pub const SLOTS: usize = 4;
 const QUEUE: usize = 8;
 
-extern "C" {
-    fn setsockopt(fd: i32, level: i32, name: i32, value: *const [i32; 2], len: u32) -> i32;
-}
-
-/// Makes the close of a connection send a reset.
-fn reset_on_close(stream: &TcpStream) {
-    const SOL_SOCKET: i32 = 1;
-    const SO_LINGER: i32 = 13;
-    let linger = [1, 0];
-    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &linger, 8) };
-}
-
 /// A request that a backend has run.
 #[derive(Debug, Clone)]
 pub struct Run {
     pub id: String,
-    pub server: String,
     pub service: String,
     pub version: String,
     /// Whether it was answered 500.
@@ -43,72 +29,9 @@
     pub at: f64,
 }
 
-/// Hosts that are partitioned from all backends, by process; new connections of these are reset.
-#[derive(Clone, Default)]
-pub struct Links {
-    state: Arc<Mutex<(Vec<u32>, Vec<(u32, TcpStream)>)>>,
-    hosts: Arc<Mutex<Vec<u32>>>,
-}
-
-impl Links {
-    pub fn set_hosts(&self, hosts: Vec<u32>) {
-        *self.hosts.lock().unwrap() = hosts;
-    }
-
-    /// Partitions a host from all backends: its open connections and all new ones are reset.
-    pub fn cut(&self, host: u32) {
-        let mut state = self.state.lock().unwrap();
-        state.0.push(host);
-        for (owner, stream) in &state.1 {
-            if *owner == host {
-                reset_on_close(stream);
-                let _ = stream.shutdown(Shutdown::Both);
-            }
-        }
-    }
-
-    pub fn heal(&self) {
-        self.state.lock().unwrap().0.clear();
-    }
-
-    /// Records a new connection; returns whether its host is partitioned.
-    fn is_cut(&self, stream: &TcpStream) -> bool {
-        let hosts = self.hosts.lock().unwrap().clone();
-        if hosts.is_empty() {
-            return false;
-        }
-        let owner = stream.peer_addr().ok().and_then(|peer| owner(peer.port(), &hosts));
-        let Some(owner) = owner else { return false };
-        let mut state = self.state.lock().unwrap();
-        if let Ok(copy) = stream.try_clone() {
-            state.1.push((owner, copy));
-        }
-        state.0.contains(&owner)
-    }
-}
-
-/// Returns the process among `hosts` that has opened the connection from this port.
-fn owner(port: u16, hosts: &[u32]) -> Option<u32> {
-    let table = std::fs::read_to_string("/proc/net/tcp").ok()?;
-    let inode = table.lines().find_map(|row| {
-        let fields: Vec<&str> = row.split_whitespace().take(10).collect();
-        let own = u16::from_str_radix(fields.get(1)?.split(':').nth(1)?, 16).ok()?;
-        (own == port && *fields.get(9)? != "0").then(|| format!("socket:[{}]", fields[9]))
-    })?;
-    hosts.iter().copied().find(|host| {
-        let descriptors = std::fs::read_dir(format!("/proc/{host}/fd"));
-        descriptors.into_iter().flatten().flatten().any(|entry| {
-            std::fs::read_link(entry.path()).is_ok_and(|target| target.as_os_str() == &*inode)
-        })
-    })
-}
-
 /// What a backend does beside serving.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Faults {
-    /// Answers that turn a request away are sent again when the next request of the connection
-    /// arrives.
-    pub repeats_rejections: bool,
     /// Share of the requests that are answered 500.
     pub fails: f64,
 }
@@ -141,7 +64,6 @@
         service: &str,
         zone: &str,
         work: Duration,
-        links: &Links,
         record: &Record,
     ) -> io::Result<Server> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
@@ -157,14 +79,11 @@
             runs: Arc::default(),
             record: record.clone(),
         };
-        let (served, links) = (server.clone(), links.clone());
+        let served = server.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (server, links) = (served.clone(), links.clone());
-                std::thread::spawn(move || match links.is_cut(&stream) {
-                    true => reset_on_close(&stream),
-                    false => drop(server.serve(Conn::new(stream))),
-                });
+                let server = served.clone();
+                std::thread::spawn(move || server.serve(Conn::new(stream)));
             }
         });
         Ok(server)
@@ -188,10 +107,6 @@
         self.lock().faults = faults;
     }
 
-    pub fn set_work(&self, work: Duration) {
-        self.lock().work = work;
-    }
-
     /// Makes it cold for this time. It works at half its speed meanwhile.
     pub fn become_cold(&self, time: Duration) {
         self.lock().cold_until = Some(Instant::now() + time);
@@ -223,13 +138,8 @@
     }
 
     fn serve(&self, mut conn: Conn) -> io::Result<()> {
-        let mut repeated: Option<String> = None;
         while let Some(head) = conn.read_head()? {
             let body = conn.read_body(&head)?;
-            if let Some(id) = repeated.take() {
-                self.record.line(&format!("{} sends its 503 for {id} a second time", self.id));
-                conn.respond(503, &[(ID, &id), NOT_EXECUTED], b"")?;
-            }
             if head.path() == "/healthz" {
                 let load = self.load();
                 let cold = self.cold_remaining().as_millis().to_string();
@@ -240,28 +150,24 @@
                 conn.respond(200, &fields, b"")?;
                 continue;
             }
-            repeated = self.call(&mut conn, &head, body.len())?;
+            self.call(&mut conn, &head, body.len())?;
         }
         Ok(())
     }
 
-    /// Serves a request; returns its id if the answer is to be sent again.
-    fn call(&self, conn: &mut Conn, head: &Head, body_len: usize) -> io::Result<Option<String>> {
+    fn call(&self, conn: &mut Conn, head: &Head, body_len: usize) -> io::Result<()> {
         let id = head.field("x-basilhaven-request-id").unwrap_or_default().to_owned();
         let expected = head.field("x-basilhaven-expected-instance");
         if expected.is_some_and(|expected| expected != self.id) {
             let fields = [(ID, &*id), ("X-Basilhaven-Instance-Id", &*self.id), NOT_EXECUTED];
-            conn.respond(421, &fields, b"")?;
-            return Ok(None);
+            return conn.respond(421, &fields, b"");
         }
         let ms = head.field("x-basilhaven-deadline-ms").and_then(|ms| ms.parse().ok());
         let deadline = Instant::now() + Duration::from_millis(ms.unwrap_or(10_000));
         let Some((work, faults)) = self.take_slot(deadline) else {
-            let faults = self.lock().faults;
             self.record.line(&format!("{} is full: 503 for {id}", self.id));
             let load = self.load();
-            conn.respond(503, &[(ID, &id), NOT_EXECUTED, (LOAD, &load)], b"")?;
-            return Ok(faults.repeats_rejections.then_some(id));
+            return conn.respond(503, &[(ID, &id), NOT_EXECUTED, (LOAD, &load)], b"");
         };
         let version = self.version();
         let is_bad = fraction(&id) < faults.fails;
@@ -269,7 +175,6 @@
         self.record.line(&line);
         let run = Run {
             id: id.clone(),
-            server: self.id.clone(),
             service: self.service.clone(),
             version,
             is_bad,
@@ -286,8 +191,7 @@
         let load = self.load();
         let content = format!("{id} by {}, {body_len} bytes", self.id);
         let status = if is_bad { 500 } else { 200 };
-        conn.respond(status, &[(ID, &id), SIGNATURE, (LOAD, &load)], content.as_bytes())?;
-        Ok(None)
+        conn.respond(status, &[(ID, &id), SIGNATURE, (LOAD, &load)], content.as_bytes())
     }
 
     /// Waits for a slot; `None` if the queue is full, or the deadline passes first.
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -25,7 +25,9 @@
             None => "\"Removed\":true".to_owned(),
         };
         let Row { table, key, version, .. } = self;
-        format!("{{\"Table\":\"{table}\",\"part\":\"\",\"Key\":\"{key}\",{content},\"Ver\":{version}}}")
+        format!(
+            "{{\"Table\":\"{table}\",\"part\":\"\",\"Key\":\"{key}\",{content},\"Ver\":{version}}}"
+        )
     }
 }
 
@@ -225,7 +227,8 @@
         let parsed = std::str::from_utf8(body).ok().and_then(json::parse);
         let Some(transaction) = parsed else { return Answer::Sent(400, String::new()) };
         let rows = |name| transaction.get(name).map(Json::list).unwrap_or_default();
-        let text = |row: &Json, name| row.get(name).and_then(Json::text).unwrap_or_default().to_owned();
+        let text =
+            |row: &Json, name| row.get(name).and_then(Json::text).unwrap_or_default().to_owned();
         if rows("Writes").iter().any(|row| ["op", "servers"].contains(&&*text(row, "Table"))) {
             return Answer::Sent(403, String::new());
         }
--- a/review/standin/system.rs
+++ b/review/standin/system.rs
@@ -10,19 +10,17 @@
 use crate::http::Conn;
 
 extern "C" {
-    fn kill(process: i32, signal: i32) -> i32;
     fn prctl(option: i32, value: u64, a: u64, b: u64, c: u64) -> i32;
 }
 
 /// Makes this process end when the thread that has started it ends.
 fn end_with_parent() -> io::Result<()> {
     const PR_SET_PDEATHSIG: i32 = 1;
-    unsafe { prctl(PR_SET_PDEATHSIG, KILL as u64, 0, 0, 0) };
+    unsafe { prctl(PR_SET_PDEATHSIG, KILL, 0, 0, 0) };
     Ok(())
 }
 
-pub const KILL: i32 = 9;
-pub const TERMINATE: i32 = 15;
+const KILL: u64 = 9;
 
 /// Ports of a host, as offsets from the first one.
 const FRONT: u16 = 0;
@@ -34,9 +32,8 @@
 
 pub struct Host {
     pub name: String,
-    pub ip: Ipv4Addr,
-    pub zone: String,
-    pub process: Child,
+    ip: Ipv4Addr,
+    process: Child,
     port: u16,
 }
 
@@ -45,19 +42,6 @@
         (self.ip, self.port + FRONT).into()
     }
 
-    pub fn directory(&self) -> SocketAddr {
-        (self.ip, self.port + DIRECTORY).into()
-    }
-
-    pub fn id(&self) -> u32 {
-        self.process.id()
-    }
-
-    pub fn signal(&self, signal: i32) {
-        // Only called for processes that this program has started and not yet waited for.
-        unsafe { kill(self.process.id() as i32, signal) };
-    }
-
     pub fn is_ready(&self) -> bool {
         get((self.ip, self.port + READY).into(), "/readyz").is_ok_and(|(status, _)| status == 200)
     }
@@ -68,14 +52,6 @@
         let line = page.lines().find_map(|line| line.strip_prefix("basilhaven_live_hosts "));
         line.unwrap_or("?").to_owned()
     }
-
-    /// Returns the resident memory of the process in MB.
-    pub fn memory_mb(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        line.and_then(|l| l.split_whitespace().next()?.parse::<u64>().ok()).unwrap_or(0) / 1024
-    }
 }
 
 impl Drop for Host {
@@ -106,7 +82,10 @@
         })
     };
     let offset = (std::process::id() % 300) as u16 * 20;
-    (0..1000).map(|n| 20_000 + (offset + n * 20) % 10_000).find(|&p| is_free(p)).expect("free ports")
+    (0..1000)
+        .map(|n| 20_000 + (offset + n * 20) % 10_000)
+        .find(|&p| is_free(p))
+        .expect("free ports")
 }
 
 /// Starts one host in each of these zones, and waits until all are ready.
@@ -115,7 +94,8 @@
     let ips: Vec<Ipv4Addr> =
         (1..=zones.len()).map(|n| Ipv4Addr::new(127, 9, octet, n as u8)).collect();
     let port = free_ports(&ips);
-    let seeds: Vec<String> = ips.iter().take(3).map(|ip| format!("{ip}:{}", port + CONTROL)).collect();
+    let seeds: Vec<String> =
+        ips.iter().take(3).map(|ip| format!("{ip}:{}", port + CONTROL)).collect();
     let mut hosts = Vec::new();
     for (number, (ip, zone)) in ips.iter().zip(zones).enumerate() {
         let name = format!("front-{zone}-{}", number + 1);
@@ -148,7 +128,7 @@
             .stdout(log)
             .spawn()
             .map_err(|error| format!("target/release/basilhavend does not start: {error}"))?;
-        hosts.push(Host { name, ip: *ip, zone: (*zone).to_owned(), process, port });
+        hosts.push(Host { name, ip: *ip, process, port });
     }
     let until = Instant::now() + Duration::from_secs(20);
     while !hosts.iter().all(Host::is_ready) {
--- a/review/standin/traffic.rs
+++ b/review/standin/traffic.rs
@@ -6,17 +6,16 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use crate::client::{Answer, Client};
+use crate::client::Client;
 use crate::record::Record;
 
-/// A request of a client, and its answer.
+/// A request of a client.
 #[derive(Debug, Clone)]
 pub struct Request {
     pub id: String,
     /// The host that it was sent to, by position.
     pub host: usize,
     pub sent: f64,
-    pub answer: Answer,
 }
 
 /// The paths of requests.
@@ -43,7 +42,8 @@
         (method, paths, ms): (&'static str, Paths, u64),
         record: &Record,
     ) -> Traffic {
-        let mut traffic = Traffic { stop: Arc::default(), requests: Arc::default(), threads: Vec::new() };
+        let mut traffic =
+            Traffic { stop: Arc::default(), requests: Arc::default(), threads: Vec::new() };
         for (host, address) in hosts.iter().enumerate() {
             for client in 0..clients {
                 let (stop, requests) = (traffic.stop.clone(), traffic.requests.clone());
@@ -66,8 +66,9 @@
                         };
                         record.line(&format!("{id} is sent to host {host}"));
                         let answer = connection.call(method, &path, &id, ms, body);
-                        record.line(&format!("{id} is answered {} {}", answer.status, answer.error));
-                        requests.lock().unwrap().push(Request { id, host, sent, answer });
+                        record
+                            .line(&format!("{id} is answered {} {}", answer.status, answer.error));
+                        requests.lock().unwrap().push(Request { id, host, sent });
                         std::thread::sleep(gap);
                     }
                 }));
