--- a/review/standin/many.rs
+++ b/review/standin/many.rs
@@ -33,6 +33,15 @@
     });
     let servers: Vec<Server> = servers.collect::<Result<_, _>>()?;
     server::beat(&servers, &store);
+    // The other services have a backend of each version, and get no requests.
+    let others = (0..SERVICES).flat_map(|n| [(n, "v1"), (n, "v2")]).map(|(n, version)| {
+        let (id, service) = (format!("i-{version}{n:06x}"), format!("bindery-por{n:03}"));
+        let work = Duration::from_millis(30);
+        let server = Server::start(&id, &service, zones[n % zones.len()], work, record);
+        server.map(|server| server.with_version(version)).map_err(|e| e.to_string())
+    });
+    let others: Vec<Server> = others.collect::<Result<_, _>>()?;
+    server::beat(&others, &store);
     let hosts = system::start(&zones, store.address, logs)?;
     record.say("the hosts are ready");
     pause(4.0);
