--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec bash "$(dirname "$0")/../run-case.sh" lost-answer "$(dirname "$0" | xargs realpath)"
+exec bash "$(dirname "$0")/../run-case.sh" many-services "$(dirname "$0" | xargs realpath)"
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,8 +6,10 @@
 mod configuration;
 mod http;
 mod json;
+mod links;
 mod many;
 mod record;
+mod refused;
 mod rollout;
 mod server;
 mod store;
@@ -34,6 +36,7 @@
             "abort" => abort::run(&record, &logs, has_trouble),
             "bad-version" => rollout::run(&record, &logs, has_trouble),
             "many-services" => many::run(&record, &logs, has_trouble),
+            "refused" => refused::run(&record, &logs, has_trouble),
             "restored" => configuration::restored(&record, &logs, has_trouble),
             other => Err(format!("there is no case {other:?}")),
         }
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{Conn, Head};
+use crate::links::{self, Links};
 use crate::record::Record;
 use crate::store::Store;
 
@@ -34,12 +35,18 @@
 pub struct Faults {
     /// Share of the requests that are answered 500.
     pub fails: f64,
+    /// Share of the requests that are turned away.
+    pub sheds: f64,
+    /// Share of the answers that are written once more, when the next request of the connection has
+    /// arrived.
+    pub late: f64,
 }
 
 #[derive(Debug, Default)]
 struct State {
     running: usize,
     waiting: usize,
+    answers: usize,
     faults: Faults,
     work: Duration,
     cold_until: Option<Instant>,
@@ -65,6 +72,18 @@
         zone: &str,
         work: Duration,
         record: &Record,
+    ) -> io::Result<Server> {
+        Server::start_behind(&Links::default(), id, service, zone, work, record)
+    }
+
+    /// Starts a backend whose links to hosts may be cut.
+    pub fn start_behind(
+        links: &Links,
+        id: &str,
+        service: &str,
+        zone: &str,
+        work: Duration,
+        record: &Record,
     ) -> io::Result<Server> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let state = State { work, ..State::default() };
@@ -79,11 +98,14 @@
             runs: Arc::default(),
             record: record.clone(),
         };
-        let served = server.clone();
+        let (served, links) = (server.clone(), links.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let server = served.clone();
-                std::thread::spawn(move || server.serve(Conn::new(stream)));
+                let (server, links) = (served.clone(), links.clone());
+                std::thread::spawn(move || match links.is_cut(&stream) {
+                    true => links::reset_on_close(&stream),
+                    false => drop(server.serve(Conn::new(stream))),
+                });
             }
         });
         Ok(server)
@@ -138,8 +160,15 @@
     }
 
     fn serve(&self, mut conn: Conn) -> io::Result<()> {
+        // The status and id of an answer that is to be written once more.
+        let mut late: Option<(u16, String)> = None;
         while let Some(head) = conn.read_head()? {
             let body = conn.read_body(&head)?;
+            if let Some((status, id)) = late.take() {
+                self.record.line(&format!("{} writes its {status} for {id} once more", self.id));
+                let mark = if status == 503 { NOT_EXECUTED } else { SIGNATURE };
+                conn.respond(status, &[(ID, &id), mark], b"")?;
+            }
             if head.path() == "/healthz" {
                 let load = self.load();
                 let cold = self.cold_remaining().as_millis().to_string();
@@ -150,24 +179,47 @@
                 conn.respond(200, &fields, b"")?;
                 continue;
             }
-            self.call(&mut conn, &head, body.len())?;
+            let (status, id) = self.call(&mut conn, &head, body.len())?;
+            let share = self.lock().faults.late;
+            if self.draws(share, &id) {
+                late = Some((status, id));
+            }
         }
         Ok(())
     }
 
-    fn call(&self, conn: &mut Conn, head: &Head, body_len: usize) -> io::Result<()> {
+    /// Draws with this probability, anew for each answer.
+    fn draws(&self, share: f64, id: &str) -> bool {
+        let number = {
+            let mut state = self.lock();
+            state.answers += 1;
+            state.answers
+        };
+        fraction(&format!("{number} {} {id}", self.id)) < share
+    }
+
+    /// Serves a request; returns the status of the answer and the id.
+    fn call(&self, conn: &mut Conn, head: &Head, body_len: usize) -> io::Result<(u16, String)> {
         let id = head.field("x-basilhaven-request-id").unwrap_or_default().to_owned();
         let expected = head.field("x-basilhaven-expected-instance");
         if expected.is_some_and(|expected| expected != self.id) {
             let fields = [(ID, &*id), ("X-Basilhaven-Instance-Id", &*self.id), NOT_EXECUTED];
-            return conn.respond(421, &fields, b"");
+            conn.respond(421, &fields, b"")?;
+            return Ok((421, id));
+        }
+        let sheds = self.lock().faults.sheds;
+        if self.draws(sheds, &id) {
+            self.record.line(&format!("{} turns {id} away with 503", self.id));
+            conn.respond(503, &[(ID, &id), NOT_EXECUTED], b"")?;
+            return Ok((503, id));
         }
         let ms = head.field("x-basilhaven-deadline-ms").and_then(|ms| ms.parse().ok());
         let deadline = Instant::now() + Duration::from_millis(ms.unwrap_or(10_000));
         let Some((work, faults)) = self.take_slot(deadline) else {
             self.record.line(&format!("{} is full: 503 for {id}", self.id));
             let load = self.load();
-            return conn.respond(503, &[(ID, &id), NOT_EXECUTED, (LOAD, &load)], b"");
+            conn.respond(503, &[(ID, &id), NOT_EXECUTED, (LOAD, &load)], b"")?;
+            return Ok((503, id));
         };
         let version = self.version();
         let is_bad = fraction(&id) < faults.fails;
@@ -191,7 +243,8 @@
         let load = self.load();
         let content = format!("{id} by {}, {body_len} bytes", self.id);
         let status = if is_bad { 500 } else { 200 };
-        conn.respond(status, &[(ID, &id), SIGNATURE, (LOAD, &load)], content.as_bytes())
+        conn.respond(status, &[(ID, &id), SIGNATURE, (LOAD, &load)], content.as_bytes())?;
+        Ok((status, id))
     }
 
     /// Waits for a slot; `None` if the queue is full, or the deadline passes first.
--- a/review/standin/system.rs
+++ b/review/standin/system.rs
@@ -42,6 +42,11 @@
         (self.ip, self.port + FRONT).into()
     }
 
+    /// Returns the id of its process.
+    pub fn id(&self) -> u32 {
+        self.process.id()
+    }
+
     pub fn is_ready(&self) -> bool {
         get((self.ip, self.port + READY).into(), "/readyz").is_ok_and(|(status, _)| status == 200)
     }
--- a/review/standin/traffic.rs
+++ b/review/standin/traffic.rs
@@ -16,6 +16,8 @@
     /// The host that it was sent to, by position.
     pub host: usize,
     pub sent: f64,
+    /// The status of its answer; 0 for none.
+    pub status: u16,
 }
 
 /// The paths of requests.
@@ -68,7 +70,12 @@
                         let answer = connection.call(method, &path, &id, ms, body);
                         record
                             .line(&format!("{id} is answered {} {}", answer.status, answer.error));
-                        requests.lock().unwrap().push(Request { id, host, sent });
+                        requests.lock().unwrap().push(Request {
+                            id,
+                            host,
+                            sent,
+                            status: answer.status,
+                        });
                         std::thread::sleep(gap);
                     }
                 }));
