--- a/review/standin/links.rs
+++ b/review/standin/links.rs
@@ -40,6 +40,12 @@
         self.0.lock().unwrap().hosts = hosts;
     }
 
+    /// Returns whether a connection of each host is known.
+    pub fn knows_all(&self) -> bool {
+        let state = self.0.lock().unwrap();
+        state.hosts.iter().all(|host| state.open.iter().any(|(owner, _)| owner == host))
+    }
+
     /// Partitions a host from all backends: its open connections and all new ones are reset.
     pub fn cut(&self, host: u32) {
         let mut state = self.0.lock().unwrap();
--- a/review/standin/refused.rs
+++ b/review/standin/refused.rs
@@ -61,6 +61,10 @@
     let fronts: Vec<_> = hosts.iter().map(Host::front).collect();
     let request = ("POST", Paths::One("/pufi791/2f"), 1000);
     let traffic = Traffic::start(&fronts, 6, Duration::from_millis(15), request, record);
+    pause(2.0);
+    if !links.knows_all() {
+        return Err("the host of a connection cannot be found".to_owned());
+    }
     for _ in 0..ROUNDS {
         pause(10.0);
         if has_trouble {
