--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,6 @@
 #!/usr/bin/env bash
-exec bash "$(dirname "$0")/../run-case.sh" many-services "$(dirname "$0" | xargs realpath)"
+# TROUBLE=0 leaves the disruption out; the stand-in reads it.
+set -u
+cd "$(dirname "$0")" || exit 2
+export TROUBLE="${TROUBLE:-1}"
+exec ../run-case.sh many-services "$PWD"
