Send a call that another host has sent before over a new connection

Cause: on a connection that has carried a call, a late copy of the first rejection can't be told from the response, as both have the call's id. Within a host such a call gets a new connection; where it was sent before was lost when it was passed to another host, and a refusal from there named a number of attempts and no upstreams.

Fix: history::Sends holds the upstreams that a call was sent to, goes with the call both ways, and is what attempt::send decides by, so that no path goes round it. Hosts of earlier builds name none: their calls get new connections, and a call that they refused after an attempt is not passed on again. Calls without an id, where any copy may be taken for the response, get new connections as well (same cause).

--- a/crates/basilhaven-bench/tests/gateway/main.rs
+++ b/crates/basilhaven-bench/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod malformed;
 mod orders;
+mod passed_on;
 mod pauses;
 mod pipelining;
 mod responses;
--- a/crates/basilhaven-bench/tests/gateway/responses.rs
+++ b/crates/basilhaven-bench/tests/gateway/responses.rs
@@ -1,7 +1,7 @@
 //! Checks that each caller receives its own complete response, and that an at-most-once call runs
 //! at most once.
 
-use std::io::Read as _;
+use std::io::{Read as _, Write as _};
 use std::time::{Duration, Instant};
 
 use basilhaven_bench::standin::block_on;
@@ -25,6 +25,23 @@
     });
 }
 
+// Guards against a copy of another call's rejection that is taken for the response to a call.
+#[test]
+fn a_call_without_an_id_is_not_refused_by_another_calls_rejection() {
+    block_on(async {
+        let fixture = Fixture::start(&[Behaviour::RepeatsRejections(Echo::Nothing)]).await;
+        let mut stream = fixture.host.open().unwrap();
+        for number in 0..4 {
+            let known = fixture.upstreams[0].executed_ids().len();
+            let request = "POST /unsafe/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n";
+            stream.write_all(request.as_bytes()).unwrap();
+            let response = receive(&mut stream).unwrap();
+            let has_run = fixture.upstreams[0].executed_ids().len() > known;
+            assert!(response.status != 503 || !has_run, "call {number} was refused and ran");
+        }
+    });
+}
+
 #[test]
 fn a_path_without_a_route_gets_404() {
     block_on(async {
--- a/crates/basilhaven/src/gateway/attempt.rs
+++ b/crates/basilhaven/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use http::header::{self, HeaderMap, HeaderValue};
 
-use super::{protocol, upstream};
+use super::{history, protocol, upstream};
 use crate::http1::{self, body, head};
 use crate::profile;
 
@@ -110,15 +110,15 @@
     Unknown(Cause),
 }
 
-/// Sends a call to an upstream and waits for the response. `was_sent_before` tells whether an
-/// earlier attempt of the call was sent to the same upstream.
+/// Sends a call to an upstream and waits for the response. `sends` are the earlier attempts of the
+/// call.
 pub async fn send(
     call: &Call,
     upstream: &upstream::Upstream,
     protocol: &protocol::Protocol,
-    was_sent_before: bool,
+    sends: &history::Sends,
 ) -> Outcome {
-    let opened = timeout_at(call.deadline, connect(call, upstream, was_sent_before)).await;
+    let opened = timeout_at(call.deadline, connect(call, upstream, sends)).await;
     let mut conn = match opened {
         Ok(Ok(conn)) => conn,
         Ok(Err(error)) => {
@@ -175,14 +175,15 @@
 async fn connect(
     call: &Call,
     upstream: &upstream::Upstream,
-    was_sent_before: bool,
+    sends: &history::Sends,
 ) -> std::io::Result<http1::Conn> {
     let max_idle = match call.idempotency {
         profile::Idempotency::Idempotent => MAX_IDLE_IDEMPOTENT,
         profile::Idempotency::AtMostOnce => MAX_IDLE_AT_MOST_ONCE,
     };
-    // On the connection of the earlier attempt, a copy of its response has the same request id.
-    if !was_sent_before {
+    // A late copy of an earlier response is recognised by its request id, unless that belongs to an
+    // earlier attempt of the same call.
+    if call.id.is_some() && !sends.may_include(&upstream.id) {
         if let Some(conn) = upstream.take_conn(Instant::now(), max_idle) {
             return Ok(conn);
         }
--- a/crates/basilhaven/src/gateway/forward.rs
+++ b/crates/basilhaven/src/gateway/forward.rs
@@ -13,7 +13,7 @@
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use indexmap::IndexMap;
 
-use super::{attempt, cluster, notify, protocol, relay};
+use super::{attempt, cluster, history, notify, protocol, relay};
 use crate::http1::{self, body, head};
 use crate::profile;
 
@@ -29,8 +29,8 @@
 /// On requests: milliseconds since the call arrived at the sender.
 const ELAPSED_MS: HeaderName = HeaderName::from_static("basilhaven-elapsed-ms");
 
-/// On requests: ids of the upstreams that have been tried, separated by spaces. On a request that
-/// has it, the call was sent to an upstream before.
+/// On requests, and on responses to calls that have not run: ids of the upstreams that the call was
+/// sent to, separated by spaces. Earlier builds leave it out if there are none, and on responses.
 const TRIED: HeaderName = HeaderName::from_static("basilhaven-tried");
 
 /// On responses: how the call has ended, see [`Ending`].
@@ -68,14 +68,16 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use basilhaven::gateway::forward;
+/// use basilhaven::gateway::{forward, history};
 ///
+/// let mut sends = history::Sends::default();
+/// sends.record("i-1".into());
 /// let terms = forward::Terms {
 ///     service: "catalogo".into(),
 ///     version: 7,
 ///     attempts: 2,
 ///     elapsed: Duration::from_millis(30),
-///     tried: vec!["i-1".into()],
+///     sends,
 /// };
 /// let mut headers = http::HeaderMap::new();
 /// terms.write(&mut headers);
@@ -92,8 +94,8 @@
     pub attempts: u32,
     /// The time since the call arrived at the first host.
     pub elapsed: Duration,
-    /// Ids of the upstreams that the call was sent to.
-    pub tried: Vec<Rc<str>>,
+    /// The upstreams that the call was sent to.
+    pub sends: history::Sends,
 }
 
 /// Why the terms of a call are invalid.
@@ -113,15 +115,12 @@
         headers.insert(VERSION, HeaderValue::from(self.version));
         headers.insert(ATTEMPTS, HeaderValue::from(self.attempts));
         headers.insert(ELAPSED_MS, HeaderValue::from(self.elapsed.as_millis() as u64));
-        match text(&self.tried.join(" ")) {
-            Some(tried) if !self.tried.is_empty() => headers.insert(TRIED, tried),
-            _ => headers.remove(TRIED),
-        };
+        write_sends(&self.sends, headers);
     }
 
     /// Returns whether the call was sent to an upstream before.
     pub fn is_retry(&self) -> bool {
-        !self.tried.is_empty()
+        !self.sends.upstreams().is_empty()
     }
 }
 
@@ -142,11 +141,29 @@
             version: number(VERSION)?,
             attempts: u32::try_from(attempts).map_err(|_| Error { field: ATTEMPTS })?,
             elapsed: Duration::from_millis(number(ELAPSED_MS)?),
-            tried: text(TRIED).unwrap_or_default().split_whitespace().map(Rc::from).collect(),
+            sends: read_sends(headers),
         })
     }
 }
 
+/// Adds the header field that names the upstreams that a call was sent to.
+fn write_sends(sends: &history::Sends, headers: &mut HeaderMap) {
+    match HeaderValue::from_str(&sends.upstreams().join(" ")) {
+        Ok(tried) if !sends.has_unknown() => headers.insert(TRIED, tried),
+        _ => headers.remove(TRIED),
+    };
+}
+
+/// Returns the upstreams that a call was sent to, as far as the header fields name them.
+fn read_sends(headers: &HeaderMap) -> history::Sends {
+    let mut sends = history::Sends::default();
+    match headers.get(TRIED).and_then(|value| value.to_str().ok()) {
+        Some(tried) => tried.split_whitespace().for_each(|id| sends.record(id.into())),
+        None => sends.record_unknown(),
+    }
+    sends
+}
+
 /// Removes the header fields of terms from a request.
 pub fn remove_terms(headers: &mut HeaderMap) {
     FIELDS.iter().for_each(|field| {
@@ -155,7 +172,7 @@
 }
 
 /// How a call has ended at the host that it was passed to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display)]
 pub enum Ending {
     /// The response is an upstream's.
     #[display("answered")]
@@ -164,7 +181,9 @@
     #[display("not-run")]
     NotRun {
         /// The attempts that were made.
-        sends: u32,
+        attempts: u32,
+        /// The upstreams that the call was sent to.
+        sends: history::Sends,
     },
     /// The call may have run.
     #[display("unknown")]
@@ -173,23 +192,29 @@
 
 impl Ending {
     /// Adds the header fields that tell this ending.
-    pub fn write(self, headers: &mut HeaderMap) {
+    pub fn write(&self, headers: &mut HeaderMap) {
         let result = HeaderValue::from_str(&self.to_string()).expect("letters and dashes");
         headers.insert(RESULT, result);
-        if let Ending::NotRun { sends } = self {
-            headers.insert(SENDS, HeaderValue::from(sends));
+        if let Ending::NotRun { attempts, sends } = self {
+            headers.insert(SENDS, HeaderValue::from(*attempts));
+            write_sends(sends, headers);
         }
     }
 
     /// Returns the ending that a response tells, and removes its header fields. A response without
     /// them leaves it unknown whether the call has run.
     fn take(headers: &mut HeaderMap) -> Ending {
-        let sends = headers.remove(SENDS);
-        let sends = sends.and_then(|value| value.to_str().ok()?.parse().ok());
+        let attempts = headers.remove(SENDS);
+        let attempts = attempts.and_then(|value| value.to_str().ok()?.parse().ok());
         let result = headers.remove(RESULT);
-        match (result.as_ref().map(HeaderValue::as_bytes), sends) {
+        match (result.as_ref().map(HeaderValue::as_bytes), attempts) {
             (Some(b"answered"), _) => Ending::Answered,
-            (Some(b"not-run"), Some(sends)) => Ending::NotRun { sends },
+            (Some(b"not-run"), Some(0)) => {
+                Ending::NotRun { attempts: 0, sends: history::Sends::default() }
+            }
+            (Some(b"not-run"), Some(attempts)) => {
+                Ending::NotRun { attempts, sends: read_sends(headers) }
+            }
             _ => Ending::Unknown,
         }
     }
@@ -212,7 +237,9 @@
         /// When the caller may retry, if the other host has told.
         retry_after: Option<Duration>,
         /// The attempts that the other host has made.
-        sends: u32,
+        attempts: u32,
+        /// The upstreams that the call was sent to.
+        sends: history::Sends,
     },
     /// The call may have run, or may still run.
     Unknown(http::StatusCode),
@@ -326,7 +353,8 @@
             Ok(conn) => conn,
             Err(error) => {
                 tracing::info!(event = "host_not_reached", %host, %error);
-                return Ok(Outcome::NotRun { retry_after: None, sends: 0 });
+                let (attempts, sends) = (0, history::Sends::default());
+                return Ok(Outcome::NotRun { retry_after: None, attempts, sends });
             }
         };
         let remaining = call.deadline.saturating_duration_since(Instant::now());
@@ -355,11 +383,11 @@
                 let leaving = leaving.and_then(|id| id.to_str().ok().map(Rc::from));
                 Outcome::Answered(attempt::Response { status, headers, body, remainder, leaving })
             }
-            Ending::NotRun { sends } => {
+            Ending::NotRun { attempts, sends } => {
                 let retry_after = response.parts.headers.get(header::RETRY_AFTER);
                 let seconds = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
                 let retry_after = seconds.and_then(|s| Duration::try_from_secs_f64(s).ok());
-                Outcome::NotRun { retry_after, sends }
+                Outcome::NotRun { retry_after, attempts, sends }
             }
             Ending::Unknown if status.is_server_error() => Outcome::Unknown(status),
             Ending::Unknown => Outcome::Unknown(http::StatusCode::BAD_GATEWAY),
--- a/crates/basilhaven/src/gateway/frontend.rs
+++ b/crates/basilhaven/src/gateway/frontend.rs
@@ -220,13 +220,13 @@
     };
     let Some(table) = frontend.config.table() else {
         tracing::info!(event = "not_configured");
-        return deliver(conn, attempts::Reply::REFUSED, persistence(), source).await;
+        return deliver(conn, attempts::Reply::refused(), persistence(), source).await;
     };
     let terms = match source {
         Source::Caller => None,
         Source::Host => match take_terms(&mut request, &table) {
             Some(terms) => Some(terms),
-            None => return deliver(conn, attempts::Reply::REFUSED, persistence(), source).await,
+            None => return deliver(conn, attempts::Reply::refused(), persistence(), source).await,
         },
     };
     let host = head::host(&request.parts).unwrap_or_default();
@@ -244,7 +244,7 @@
     let call = build_call(frontend, request, body, &route, started);
     if frontend.exit_at.get().is_some_and(|end| call.deadline + RESPONSE_MARGIN > end) {
         tracing::info!(event = "stopping_too_soon", id = call.id_text(), route = &*route.name);
-        return deliver(conn, attempts::Reply::REFUSED, Persistence::Close, source).await;
+        return deliver(conn, attempts::Reply::refused(), Persistence::Close, source).await;
     }
     let task = attempts::Task { route: &route, call: &call, terms };
     let caller_left = notify::Notifier::default();
--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::gateway::moves::evidence;
-use crate::gateway::{attempt, balancer, forward, frontend, notify, route};
+use crate::gateway::{attempt, balancer, forward, frontend, history, notify, route};
 use crate::profile;
 
 /// How soon the caller of a call that was not run may retry: if no upstream had capacity, and if
@@ -39,7 +39,9 @@
         /// When the caller may retry.
         retry_after: Duration,
         /// The attempts that were made.
-        sends: u32,
+        attempts: u32,
+        /// The upstreams that they were made at.
+        sends: history::Sends,
     },
     /// The call may have run, but no response can be forwarded.
     Unknown(http::StatusCode),
@@ -47,13 +49,17 @@
 
 impl Reply {
     /// The reply to a call for which no upstream was looked for.
-    pub(super) const REFUSED: Reply = Reply::NotRun { retry_after: RETRY_AFTER, sends: 0 };
+    pub(super) fn refused() -> Reply {
+        Reply::NotRun { retry_after: RETRY_AFTER, attempts: 0, sends: history::Sends::default() }
+    }
 
     /// Returns how this reply tells another host that the call has ended.
     pub(super) fn ending(&self) -> forward::Ending {
         match self {
             Reply::Response(_) => forward::Ending::Answered,
-            Reply::NotRun { sends, .. } => forward::Ending::NotRun { sends: *sends },
+            Reply::NotRun { attempts, sends, .. } => {
+                forward::Ending::NotRun { attempts: *attempts, sends: sends.clone() }
+            }
             Reply::Unknown(_) => forward::Ending::Unknown,
         }
     }
@@ -93,11 +99,12 @@
 #[derive(Debug)]
 struct Progress {
     /// Attempts that have reached an upstream.
-    sends: u32,
+    attempts: u32,
     failed_connects: u32,
     /// Hosts that the call was passed to.
     hosts: u32,
-    tried_upstreams: Vec<Rc<str>>,
+    /// The upstreams of these attempts, and those that could not be connected to.
+    sends: history::Sends,
     /// The reply if no further attempt is made; `None` as long as the call has not run.
     reply: Option<Reply>,
     /// When the caller may retry if the call does not run.
@@ -118,11 +125,11 @@
     let found = task.service().and_then(|name| table.services.get_key_value(&name));
     let Some((name, service)) = found else {
         tracing::warn!(event = "no_service", route = &*route.name, version = table.version);
-        return Reply::REFUSED;
+        return Reply::refused();
     };
-    let (elapsed, tried_upstreams) = match &task.terms {
-        Some(terms) => (terms.elapsed, terms.tried.clone()),
-        None => (Duration::ZERO, Vec::new()),
+    let (elapsed, sends) = match &task.terms {
+        Some(terms) => (terms.elapsed, terms.sends.clone()),
+        None => (Duration::ZERO, history::Sends::default()),
     };
     let queue = frontend.balancer.queue(name);
     if !task.terms.as_ref().is_some_and(forward::Terms::is_retry) {
@@ -130,25 +137,28 @@
     }
     let run = Run { frontend, table, task: &task, service: name, queue: &queue, started };
     let mut progress = Progress {
-        sends: 0,
+        attempts: 0,
         failed_connects: 0,
         hosts: 0,
-        tried_upstreams,
+        sends,
         reply: None,
         retry_after: RETRY_AFTER,
     };
     let min_time = route.latency_target.mul_f64(MIN_TIME_SHARE);
-    while progress.sends < task.max_attempts() && progress.failed_connects < MAX_FAILED_CONNECTS {
-        if progress.sends > 0
+    while progress.attempts < task.max_attempts() && progress.failed_connects < MAX_FAILED_CONNECTS
+    {
+        if progress.attempts > 0
             && !queue.retries.try_spend(Instant::now(), frontend.retry_allowance())
         {
             break;
         }
-        let may_be_passed_on = task.terms.is_none() && progress.hosts < MAX_HOSTS;
+        // A host of an earlier build would not know that the call may have been sent before.
+        let may_be_passed_on =
+            task.terms.is_none() && progress.hosts < MAX_HOSTS && !progress.sends.has_unknown();
         let requirements = balancer::Requirements {
             service: name,
             priority: route.priority,
-            tried_upstreams: &progress.tried_upstreams,
+            tried_upstreams: progress.sends.upstreams(),
             queue_until: call.deadline.checked_sub(min_time).unwrap_or(call.deadline),
             deadline: call.deadline,
             target_at: started.checked_sub(elapsed).unwrap_or(started) + route.latency_target,
@@ -178,8 +188,8 @@
             break;
         }
     }
-    let not_run = Reply::NotRun { retry_after: progress.retry_after, sends: progress.sends };
-    progress.reply.unwrap_or(not_run)
+    let Progress { reply, retry_after, attempts, sends, .. } = progress;
+    reply.unwrap_or(Reply::NotRun { retry_after, attempts, sends })
 }
 
 /// The attempts of one call. Each method makes one step, and returns whether another may follow.
@@ -198,20 +208,19 @@
         let (frontend, table) = (self.frontend, self.table);
         let (route, call) = (self.task.route, self.task.call);
         let sent_at = Instant::now();
-        let was_sent_before = progress.tried_upstreams.contains(&permit.upstream.id);
         let outcome =
-            attempt::send(call, &permit.upstream, &frontend.protocol, was_sent_before).await;
+            attempt::send(call, &permit.upstream, &frontend.protocol, &progress.sends).await;
         let waited = sent_at.saturating_duration_since(self.started);
         log_attempt(call, route, table, &permit, &outcome, (waited, sent_at.elapsed()));
         record_evidence(frontend, self.service, route, &permit, &outcome, sent_at.elapsed());
-        progress.tried_upstreams.push(Rc::clone(&permit.upstream.id));
+        progress.sends.record(Rc::clone(&permit.upstream.id));
         let now = Instant::now();
         let is_repeatable = call.idempotency == profile::Idempotency::Idempotent;
         let mut may_continue = true;
         let mut weight = FAILURE_WEIGHT;
         match outcome {
             attempt::Outcome::Answered(response) => {
-                progress.sends += 1;
+                progress.attempts += 1;
                 let has_failed = response.status.is_server_error();
                 if !has_failed {
                     permit.upstream.record_success(now);
@@ -224,14 +233,14 @@
             // The call has not reached the upstream.
             attempt::Outcome::NotRun(attempt::Cause::Connect) => progress.failed_connects += 1,
             attempt::Outcome::NotRun(cause) => {
-                progress.sends += 1;
+                progress.attempts += 1;
                 progress.retry_after = RETRY_AFTER_SHED;
                 if cause == attempt::Cause::Shed {
                     weight = SHED_WEIGHT;
                 }
             }
             attempt::Outcome::Unknown(_) => {
-                progress.sends += 1;
+                progress.attempts += 1;
                 may_continue = is_repeatable;
                 progress.reply.get_or_insert(Reply::Unknown(http::StatusCode::BAD_GATEWAY));
             }
@@ -250,17 +259,17 @@
         progress: &mut Progress,
     ) -> ControlFlow<()> {
         let (route, call) = (self.task.route, self.task.call);
-        if progress.sends == 0 && progress.hosts == 0 {
+        if progress.attempts == 0 && progress.hosts == 0 {
             self.queue.retries.withdraw_call(Instant::now());
         }
         let terms = forward::Terms {
             service: Rc::clone(self.service),
             version: self.table.version,
-            attempts: self.task.max_attempts() - progress.sends,
+            attempts: self.task.max_attempts() - progress.attempts,
             elapsed: self.started.elapsed(),
-            tried: match progress.sends {
-                0 => Vec::new(),
-                _ => progress.tried_upstreams.clone(),
+            sends: match progress.attempts {
+                0 => history::Sends::default(),
+                _ => progress.sends.clone(),
             },
         };
         progress.hosts += 1;
@@ -275,9 +284,10 @@
                 progress.reply = Some(Reply::Response(response));
                 flow(false)
             }
-            forward::Outcome::NotRun { retry_after, sends } => {
+            forward::Outcome::NotRun { retry_after, attempts, sends } => {
                 progress.retry_after = retry_after.unwrap_or(progress.retry_after);
-                progress.sends += sends;
+                progress.attempts += attempts;
+                progress.sends.extend(&sends);
                 flow(true)
             }
             // The other host may have made all attempts that were left.
@@ -291,7 +301,7 @@
     /// Gives up on the call because of a refusal.
     fn refuse(&self, refusal: balancer::Refusal, progress: &mut Progress) -> ControlFlow<()> {
         let (route, call) = (self.task.route, self.task.call);
-        log_refusal(call, route, self.service, refusal, progress.sends, self.started);
+        log_refusal(call, route, self.service, refusal, progress.attempts, self.started);
         if let balancer::Refusal::RateLimited { retry_after: Some(time) }
         | balancer::Refusal::Paused { retry_after: time } = refusal
         {
--- a/crates/basilhaven/src/gateway/mod.rs
+++ b/crates/basilhaven/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod directory;
 pub mod forward;
 pub mod frontend;
+pub mod history;
 pub mod journal;
 pub mod limit;
 pub mod moves;
