Derive the poll for orders from the time in which they are to be in force

Cause: a poll for orders lasted 20 s, and a lost response looks like a poll without changes until it ends. The staleness of orders was relayed and read by nobody.

Watchers and followers look for another source when orders are stale for 0.9 of the bound. Followers judge only builds that mark their messages, as earlier ones do not keep to it.

--- a/crates/basilhaven-bench/src/standin/users/store.rs
+++ b/crates/basilhaven-bench/src/standin/users/store.rs
@@ -74,6 +74,8 @@
     compacted_revision: u64,
     mode: Mode,
     delay: Duration,
+    /// The table whose next changes are lost on their way to a reader, and how often.
+    lost_changes: Option<(String, usize)>,
     calls: u64,
     full_reads: Vec<String>,
 }
@@ -135,6 +137,7 @@
             compacted_revision: 0,
             mode: Mode::Up,
             delay: Duration::ZERO,
+            lost_changes: None,
             calls: 0,
             full_reads: Vec::new(),
         };
@@ -212,6 +215,27 @@
         self.lock().delay = delay;
     }
 
+    /// Loses so many responses of the feed of a table that carry changes: their connections stay open
+    /// and deliver nothing more.
+    pub fn lose_changes(&self, table: &str, count: usize) {
+        self.lock().lost_changes = Some((table.to_owned(), count));
+    }
+
+    /// Returns whether the response to this request is to be lost.
+    fn takes_loss(&self, request: &Request) -> bool {
+        let mut state = self.lock();
+        let table = request.parameter("Table").unwrap_or_default();
+        let after = request.parameter("after").and_then(|n| n.parse().ok()).unwrap_or(0);
+        let has_changes = state.log.iter().any(|row| row.table == table && row.revision > after);
+        match &mut state.lost_changes {
+            Some((of, count)) if *of == table && *count > 0 && has_changes => {
+                *count -= 1;
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Discards the history of changes, but not the rows; a feed from before now gets status 410.
     pub fn drop_history(&self) {
         let mut state = self.lock();
@@ -264,6 +288,9 @@
             match mode {
                 Mode::Up => {
                     let (status, body) = self.handle(&request);
+                    if request.path() == "/rows-feed" && self.takes_loss(&request) {
+                        std::thread::sleep(Duration::from_secs(3600));
+                    }
                     self.respond(&mut stream, status, &body)?;
                 }
                 Mode::Down => self.respond(&mut stream, 503, b"")?,
--- a/crates/basilhaven-bench/tests/gateway/orders.rs
+++ b/crates/basilhaven-bench/tests/gateway/orders.rs
@@ -4,10 +4,13 @@
 use std::time::{Duration, Instant};
 
 use basilhaven_bench::standin::block_on;
-use basilhaven_bench::standin::users::store::Mode;
+use basilhaven_bench::standin::users::store::{Mode, Store};
 use basilhaven_bench::standin::users::upstream::Upstream;
 
-use crate::fixture::{config, wait_until, Fixture, PROMPT, SERVICE};
+use crate::fixture::{config, wait_until, Fixture, Host, Network, PROMPT, SERVICE};
+
+/// The time within which an order has to be in force, the default of `--orders-within-s`.
+const ORDERS_WITHIN: Duration = Duration::from_secs(2);
 
 fn is_served(fixture: &Fixture, id: &str) -> bool {
     fixture.host.call("GET", "/safe/1", id).is_ok_and(|response| response.status == 200)
@@ -224,3 +227,30 @@
         }
     });
 }
+
+// Guards against a held poll whose response is lost, which looks like one without changes.
+#[test]
+fn a_lost_response_of_the_store_does_not_delay_an_order() {
+    block_on(async {
+        let store = Store::start();
+        store.put("op", "config", &config(1, SERVICE));
+        let hosts = Network::new(63, 4).start_all(&store, &[]).await;
+        let has_version = |host: &Host, version: u64| {
+            host.process.lines().iter().any(|line| line["version"] == version)
+        };
+        let all_know = || hosts.iter().all(|host| host.live_hosts() == Some(4));
+        wait_until("the hosts know each other", all_know).await;
+        for version in 2..6 {
+            // Both watchers lose the change in every second round, and one of them in the others.
+            store.lose_changes("op", 1 + version as usize % 2);
+            store.put("op", "config", &config(version, SERVICE));
+            let written_at = Instant::now();
+            wait_until("the version is in force everywhere", || {
+                hosts.iter().all(|host| has_version(host, version))
+            })
+            .await;
+            let took = written_at.elapsed();
+            assert!(took < ORDERS_WITHIN, "version {version} was in force after {took:?}");
+        }
+    });
+}
--- a/crates/basilhaven/src/gateway/config.rs
+++ b/crates/basilhaven/src/gateway/config.rs
@@ -73,6 +73,7 @@
         tracing::info!(
             event = "config_applied",
             version = table.version,
+            replaced = known,
             routes,
             era = %sighting.era,
         );
--- a/crates/basilhaven/src/gateway/relay.rs
+++ b/crates/basilhaven/src/gateway/relay.rs
@@ -54,7 +54,8 @@
         revision: store::Revision,
         items: Vec<store::Change>,
     },
-    /// How long ago the store was last known to have nothing newer, by feed, in milliseconds.
+    /// How long ago the store was last known to have nothing newer, by feed, in milliseconds. Builds
+    /// that keep the staleness of orders within a bound append eras to it, which are empty.
     Staleness([u32; FEEDS.len()]),
     /// The first message of a connection that carries calls; HTTP/1.1 requests follow.
     Calls,
@@ -170,7 +171,8 @@
         let staleness =
             |feed| replica.journal(feed).staleness(now).as_millis().min(u32::MAX.into()) as u32;
         let message = Message::Staleness(FEEDS.map(staleness));
-        with_timeout(IO_TIMEOUT, write(&mut stream, &message, None)).await?;
+        let bounded = Eras::of_known(&[]);
+        with_timeout(IO_TIMEOUT, write(&mut stream, &message, Some(&bounded))).await?;
         replica.wait_for_change(seen, STALENESS_INTERVAL).await;
     }
 }
@@ -205,7 +207,7 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the connection fails or the other host's list of upstreams is stale.
+/// Returns an error if the connection fails, or if the other host's replica is stale.
 pub async fn follow<F>(
     replica: &updates::Replica,
     origin: SocketAddr,
@@ -247,8 +249,13 @@
                 }
                 let staleness = replica.journal(store::Feed::Upstreams).staleness(now);
                 replica.registry.set_store_reachable(staleness <= MAX_STALENESS, now);
-                if staleness > MAX_STALENESS {
-                    return Err(io::Error::other("the followed host cannot reach the store"));
+                let stale = FEEDS.into_iter().find(|&feed| {
+                    let is_bounded = feed == store::Feed::Upstreams || eras.is_some();
+                    let staleness = replica.journal(feed).staleness(now);
+                    is_bounded && staleness > replica.max_staleness(feed)
+                });
+                if let Some(feed) = stale {
+                    return Err(io::Error::other(format!("the followed host is behind in {feed}")));
                 }
                 if should_stop() {
                     return Ok(());
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -137,6 +137,7 @@
     }
     let replica = Rc::new(updates::Replica::new(Rc::clone(&members), settings.is_first_start));
     replica.moves.set_exposure(settings.exposure_share);
+    replica.set_orders_within(settings.orders_within);
     replica.registry.set_heartbeat_interval(settings.heartbeat);
     let protocol = store.protocol();
     let members_of_prober = Rc::clone(&replica.members);
--- a/crates/basilhaven/src/gateway/settings.rs
+++ b/crates/basilhaven/src/gateway/settings.rs
@@ -64,6 +64,9 @@
     /// Share of a service's calls that a new version may get before it is proved good
     #[bpaf(long, env("BASILHAVEN_EXPOSURE_SHARE"), argument("N"), fallback("0.1".to_owned()))]
     pub exposure_share: String,
+    /// Time within which operators' orders are to be in force, in seconds
+    #[bpaf(long, env("BASILHAVEN_ORDERS_WITHIN_S"), argument("S"), fallback("2".to_owned()))]
+    pub orders_within_s: String,
     /// Probes of each upstream a second, over all hosts
     #[bpaf(long, env("BASILHAVEN_PROBE_RATE"), argument("N"), fallback("60".to_owned()))]
     pub probe_rate: String,
@@ -111,6 +114,8 @@
     pub retry_slack: f64,
     /// Share of a service's calls that a new version may get before it is proved good.
     pub exposure_share: f64,
+    /// Time within which operators' orders are to be in force.
+    pub orders_within: Duration,
     /// Probes of each upstream a second, over all hosts.
     pub probe_rate: f64,
     /// Interval at which an upstream renews its entry in the store.
@@ -155,6 +160,7 @@
         let retry_ratio = number("--retry-ratio", &raw.retry_ratio);
         let retry_slack = number("--retry-slack", &raw.retry_slack);
         let exposure_share = number("--exposure-share", &raw.exposure_share);
+        let orders_within = number("--orders-within-s", &raw.orders_within_s);
         let probe_rate = number("--probe-rate", &raw.probe_rate);
         let heartbeat = number("--heartbeat-s", &raw.heartbeat_s);
         let cores = number("--cores", &raw.cores);
@@ -176,6 +182,7 @@
                 retry_ratio: retry_ratio?,
                 retry_slack: retry_slack?,
                 exposure_share: exposure_share?,
+                orders_within: Duration::try_from_secs_f64(orders_within?).ok()?,
                 probe_rate: probe_rate?,
                 heartbeat: Duration::try_from_secs_f64(heartbeat?).ok()?,
                 capacity: (cores? * CAPACITY_PER_CORE).clamp(1.0, u8::MAX.into()) as u8,
--- a/crates/basilhaven/src/gateway/store.rs
+++ b/crates/basilhaven/src/gateway/store.rs
@@ -187,15 +187,21 @@
     /// Returns the protocol of the users' callers and upstreams.
     fn protocol(&self) -> protocol::Protocol;
 
-    /// Reads a feed as a whole.
-    fn read(&self, feed: Feed) -> impl Future<Output = Result<Changes, Error>>;
+    /// Reads a feed as a whole; each response may take up to `response_timeout`.
+    fn read(
+        &self,
+        feed: Feed,
+        response_timeout: Duration,
+    ) -> impl Future<Output = Result<Changes, Error>>;
 
-    /// Waits up to `wait` for changes of a feed after a revision.
+    /// Waits up to `wait` for changes of a feed after a revision; the response may take up to
+    /// `response_timeout` longer.
     fn long_poll(
         &self,
         feed: Feed,
         after: Revision,
         wait: Duration,
+        response_timeout: Duration,
     ) -> impl Future<Output = Result<Changes, Error>>;
 
     /// Writes the record of a host.
--- a/crates/basilhaven/src/gateway/updates.rs
+++ b/crates/basilhaven/src/gateway/updates.rs
@@ -3,7 +3,7 @@
 //! A few hosts, the watchers, poll the store; the others follow a watcher through [`relay`]. The
 //! origin of a host is where it gets updates from: the store or another host.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -13,13 +13,33 @@
 
 use super::{cluster, config, journal, moves, registry, relay, store};
 
-/// Timeout of a long poll for orders: how long the store may wait for a change.
-const ORDERS_POLL_TIMEOUT: Duration = Duration::from_secs(20);
+/// Default time within which orders are to be in force, unless the settings give another one.
+const DEFAULT_ORDERS_WITHIN: Duration = Duration::from_secs(2);
+
+/// Timeout of a long poll for orders, which is how long the store may wait for a change, and how
+/// much longer its response may take, as shares of the time within which orders are to be in force.
+///
+/// A lost response looks like a long poll without changes. The sum of both leaves time for another
+/// read and for relaying its result.
+const ORDERS_POLL_SHARE: f64 = 0.4;
+const ORDERS_RESPONSE_SHARE: f64 = 0.2;
+
+/// Staleness of orders above which a host looks for another source of updates, as a share of the
+/// time within which they are to be in force.
+const ORDERS_STALENESS_SHARE: f64 = 0.9;
 
 /// Timeout of a long poll for the list of upstreams, whose responses also show that the store is
 /// up.
 const UPSTREAMS_POLL_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// How long the store may take to respond to a read of the list of upstreams, in addition to the
+/// timeout of a long poll. With that it is less than [`relay::MAX_STALENESS`].
+const UPSTREAMS_RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// The longest that the store may take to respond after failed reads; responses take tens of times
+/// longer than usual when the store is slow.
+const MAX_RESPONSE_TIMEOUT: Duration = Duration::from_millis(1500);
+
 /// Delay between two reads of orders; changes made in between arrive in one response.
 const ORDERS_POLL_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -103,6 +123,19 @@
     /// When each origin last failed.
     failures: RefCell<IndexMap<Origin, Instant>>,
     is_first_start: bool,
+    /// The time within which orders are to be in force.
+    orders_within: Cell<Duration>,
+}
+
+/// How long the reads of one feed may take.
+#[derive(Debug, Clone, Copy)]
+struct Timing {
+    /// How long the store may wait for a change.
+    poll: Duration,
+    /// How much longer its response may take.
+    response: Duration,
+    /// Delay between two reads.
+    interval: Duration,
 }
 
 impl Replica {
@@ -119,6 +152,35 @@
             upstreams: journal::Journal::default(),
             hosts_without_eras: RefCell::default(),
             failures: RefCell::default(),
+            orders_within: Cell::new(DEFAULT_ORDERS_WITHIN),
+        }
+    }
+
+    /// Sets the time within which orders are to be in force after they were written.
+    pub fn set_orders_within(&self, time: Duration) {
+        self.orders_within.set(time);
+    }
+
+    /// Returns the staleness of a feed above which a host looks for another source of updates.
+    pub fn max_staleness(&self, feed: store::Feed) -> Duration {
+        match feed {
+            store::Feed::Upstreams => relay::MAX_STALENESS,
+            _ => self.orders_within.get().mul_f64(ORDERS_STALENESS_SHARE),
+        }
+    }
+
+    fn timing(&self, feed: store::Feed) -> Timing {
+        match feed {
+            store::Feed::Upstreams => Timing {
+                poll: UPSTREAMS_POLL_TIMEOUT,
+                response: UPSTREAMS_RESPONSE_TIMEOUT,
+                interval: UPSTREAMS_POLL_INTERVAL,
+            },
+            _ => Timing {
+                poll: self.orders_within.get().mul_f64(ORDERS_POLL_SHARE),
+                response: self.orders_within.get().mul_f64(ORDERS_RESPONSE_SHARE),
+                interval: ORDERS_POLL_INTERVAL,
+            },
         }
     }
 
@@ -475,7 +537,7 @@
     let stale = std::pin::pin!(wait_until_stale(replica));
     let result = match future::select(future::select_all(watches), stale).await {
         Either::Left(((result, _, _), _)) => result,
-        Either::Right(_) => Err("the store has stopped answering".to_owned()),
+        Either::Right((feed, _)) => Err(format!("the store has stopped responding for {feed}")),
     };
     replica.members.set_store_reachable(result.is_ok(), Instant::now());
     if result.is_err() {
@@ -484,16 +546,18 @@
     result
 }
 
-/// Waits until the store has confirmed nothing for too long.
-async fn wait_until_stale(replica: &Replica) {
+/// Waits until the store has confirmed a feed too long ago, and returns that feed.
+async fn wait_until_stale(replica: &Replica) -> store::Feed {
     let started = Instant::now();
     loop {
         monoio::time::sleep(STALENESS_CHECK_INTERVAL).await;
         let now = Instant::now();
-        let staleness =
-            replica.upstreams.staleness(now).min(now.saturating_duration_since(started));
-        if staleness > relay::MAX_STALENESS {
-            return;
+        let is_stale = |feed: &store::Feed| {
+            let staleness = replica.journal(*feed).staleness(now);
+            staleness.min(now.saturating_duration_since(started)) > replica.max_staleness(*feed)
+        };
+        if let Some(feed) = relay::FEEDS.into_iter().find(is_stale) {
+            return feed;
         }
     }
 }
@@ -502,10 +566,8 @@
 where
     S: store::Store,
 {
-    let (wait, delay) = match feed {
-        store::Feed::Upstreams => (UPSTREAMS_POLL_TIMEOUT, UPSTREAMS_POLL_INTERVAL),
-        _ => (ORDERS_POLL_TIMEOUT, ORDERS_POLL_INTERVAL),
-    };
+    let timing = replica.timing(feed);
+    let mut response_timeout = timing.response;
     let journal = replica.journal(feed);
     let mut failing_since = None;
     let mut backoff = MIN_BACKOFF;
@@ -514,8 +576,8 @@
         let requested_at = Instant::now();
         let known = journal.revision();
         let result = match is_snapshot {
-            true => store.read(feed).await,
-            false => store.long_poll(feed, known, wait).await,
+            true => store.read(feed, response_timeout).await,
+            false => store.long_poll(feed, known, timing.poll, response_timeout).await,
         };
         let now = Instant::now();
         match result {
@@ -534,10 +596,11 @@
                     replica.registry.set_store_reachable(true, now);
                 }
                 (failing_since, backoff, is_snapshot) = (None, MIN_BACKOFF, false);
+                response_timeout = timing.response;
                 if !replica.members.watchers(now).is_watcher && replica.config.is_complete() {
                     return Ok(());
                 }
-                monoio::time::sleep(delay).await;
+                monoio::time::sleep(timing.interval).await;
                 // A host that is not a watcher reads each feed once, and waits here until it has
                 // read all feeds.
                 while !replica.members.watchers(Instant::now()).is_watcher && replica.is_unsynced()
@@ -558,12 +621,17 @@
             Err(error) => {
                 tracing::warn!(event = "store_read_failed", source = %feed, %error);
                 let since = *failing_since.get_or_insert(now);
+                response_timeout = (response_timeout * 2).min(MAX_RESPONSE_TIMEOUT);
                 if now.saturating_duration_since(since) >= STORE_FAILURE_TIMEOUT {
                     return Err(error.to_string());
                 }
                 if feed == store::Feed::Upstreams {
                     replica.registry.set_store_reachable(false, now);
                 }
+                // After a timeout no further delay is needed.
+                if now.saturating_duration_since(requested_at) >= timing.poll {
+                    continue;
+                }
             }
         }
         monoio::time::sleep(backoff).await;
@@ -578,7 +646,7 @@
 {
     let mut backoff = MIN_BACKOFF;
     loop {
-        match store.read(feed).await {
+        match store.read(feed, MAX_RESPONSE_TIMEOUT).await {
             Ok(all) => {
                 let sighting = config::Sighting { era: all.revision.era, is_written: false };
                 return replica.apply_snapshot(feed, all.items, sighting, Instant::now());
