Load few upstreams of an unproven version as they would be loaded later

Cause: during trial and ramp a version runs its calls one at a time, so that a fault that depends on load cannot show; it then got all calls for 1.3 s, in which too few failed.

Fix: from the second half of the trial to the end of the ramp, calls come in bursts: all hosts send the version all calls for the first part of each period, as long as its share says, and fill its upstreams one after the other. Shares are as before. Hosts know the age of the order, so that no message is needed.

--- a/crates/basilhaven/src/gateway/moves.rs
+++ b/crates/basilhaven/src/gateway/moves.rs
@@ -16,6 +16,7 @@
 
 use super::{store, upstream};
 
+pub mod burst;
 pub mod evidence;
 mod restore;
 
@@ -65,10 +66,10 @@
 
 /// End of the trial, as a share of the move's duration; faults that appear only after some time
 /// have shown by then.
-const TRIAL_END: f64 = 0.4;
+pub(crate) const TRIAL_END: f64 = 0.4;
 
 /// Length of each later stage, as a share of the move's duration.
-const STAGE_LENGTH: f64 = 0.06;
+pub(crate) const STAGE_LENGTH: f64 = 0.06;
 
 /// Minimum time in stage `Full` before the old version may be shut down, so that the calls that it
 /// still runs can end.
@@ -379,16 +380,24 @@
             eligible.into_iter().partition(|u| u.entry().version == *to);
         let step = self.step_of(service, &known.order);
         let share = step.as_ref().map_or(0.0, |(step, _)| step.share(self.exposure.get()));
-        let is_completed = step.is_some_and(|(step, _)| step.stage == Stage::Completed);
+        let stage = step.map(|(step, _)| step.stage);
+        let is_completed = stage == Some(Stage::Completed);
         // Before the move is completed, and below a share of 1, the new version takes a call only
         // if one of its upstreams admits a call now.
         let can_take = is_completed || new.iter().any(|u| u.admits(now));
         if share >= 1.0 && !new.is_empty() {
             return new;
         }
-        match share > 0.0 && can_take && fastrand::f64() < share {
-            true if !new.is_empty() => new,
-            _ => old,
+        if share <= 0.0 || !can_take {
+            return old;
+        }
+        let age = now.saturating_duration_since(known.given_at);
+        let burst = stage.and_then(|stage| burst::Burst::of(stage, age, known.order.duration));
+        match burst {
+            Some(burst) if burst.is_active(age, share) => burst::fill(&new, now).unwrap_or(old),
+            Some(_) => old,
+            None if fastrand::f64() < share && !new.is_empty() => new,
+            None => old,
         }
     }
 
--- a/crates/basilhaven/tests/gateway/moves.rs
+++ b/crates/basilhaven/tests/gateway/moves.rs
@@ -196,3 +196,102 @@
     let only = [upstream("new", "v2", "a", now)];
     assert_eq!(moves.choose_version(SERVICE, only.iter().collect(), now).len(), 1);
 }
+
+/// The upstreams of a service whose move is simulated, and how calls at the new version fail.
+struct Simulation {
+    moves: Moves,
+    upstreams: Vec<Rc<Upstream>>,
+    /// Calls in progress: their end, upstream, start, and whether they fail.
+    calls: Vec<(Instant, usize, Instant, bool)>,
+}
+
+impl Simulation {
+    /// Simulates a move of 16 s at 29 calls per second of 63 ms to eight upstreams with four slots.
+    /// With `fails_from`, half of the calls fail that run beside so many others at an upstream of the
+    /// new version. Returns the last stage, and the calls that the new version got until the end.
+    fn run(seed: u64, fails_from: Option<u32>) -> (Stage, u32) {
+        fastrand::seed(seed);
+        let start = Instant::now();
+        let upstreams = (0..16)
+            .map(|n| upstream(&format!("i-{n}"), if n < 8 { "v1" } else { "v2" }, "a", start));
+        let mut simulation = Simulation {
+            moves: Moves::default(),
+            upstreams: upstreams.collect(),
+            calls: Vec::new(),
+        };
+        let order = Order { duration: Duration::from_secs(16), ..order(1) };
+        simulation.moves.apply_order(SERVICE.into(), Some(order), start);
+        simulation.moves.apply_step(step(Stage::Trial, 2), start);
+        let (mut now, mut new_calls, mut checked_at) = (start, 0, start);
+        while now < start + Duration::from_secs(16) {
+            now += Duration::from_secs_f64(-(1.0 - fastrand::f64()).ln() / 29.0);
+            simulation.end_calls(now);
+            if now > checked_at + Duration::from_millis(150) {
+                checked_at = now;
+                simulation.decide(now);
+            }
+            new_calls += u32::from(simulation.begin_call(now, fails_from));
+        }
+        let stage = simulation.moves.orders(now)[0].step.as_ref().map(|(step, _)| step.stage);
+        (stage.expect("a step"), new_calls)
+    }
+
+    /// Begins a call, and returns whether the new version has it.
+    fn begin_call(&mut self, now: Instant, fails_from: Option<u32>) -> bool {
+        let eligible = self.upstreams.iter().collect();
+        let candidates = self.moves.choose_version(SERVICE, eligible, now);
+        let chosen = candidates.into_iter().min_by_key(|u| (u.occupancy(), fastrand::u32(..)));
+        let chosen = Rc::clone(chosen.expect("an upstream"));
+        chosen.begin_call(now);
+        let is_new = &*chosen.entry().version == "v2";
+        let is_loaded = fails_from.is_some_and(|others| chosen.in_flight() > others);
+        let number = self.upstreams.iter().position(|u| u.id == chosen.id).expect("a known one");
+        let ends = now + Duration::from_secs_f64(0.063 * (0.7 + 0.6 * fastrand::f64()));
+        self.calls.push((ends, number, now, is_new && is_loaded && fastrand::bool()));
+        is_new
+    }
+
+    fn end_calls(&mut self, now: Instant) {
+        for (_, number, sent_at, failed) in self.calls.extract_if(.., |call| call.0 <= now) {
+            let upstream = &self.upstreams[number];
+            upstream.end_call(sent_at);
+            let count = Count::single(failed, 1.0, Duration::from_millis(63));
+            let version = Rc::clone(&upstream.entry().version);
+            self.moves.record(&SERVICE.into(), &"r".into(), &version, count);
+        }
+    }
+
+    /// Takes the coordinator's part.
+    fn decide(&self, now: Instant) {
+        let progress = self.moves.orders(now).remove(0);
+        let Some((step, since)) = progress.step else { return };
+        let evidence = self.moves.combined_evidence(SERVICE);
+        let stage = match decide(&progress.order, step.stage, progress.age, since, &evidence) {
+            Decision::Wait => return,
+            Decision::Advance(stage) => stage,
+            Decision::RollBack(_) => Stage::RolledBack,
+        };
+        let revision = Revision::from(step.revision.number + 1);
+        self.moves.apply_step(Step { stage, revision, ..step }, now);
+    }
+}
+
+// Guards against a version that is judged while it is nearly idle, and fails once it has all calls.
+#[test]
+fn a_version_that_fails_under_load_is_rolled_back_within_its_exposure() {
+    for seed in 0..40 {
+        let (stage, calls) = Simulation::run(seed, Some(1));
+        assert_eq!(stage, Stage::RolledBack, "seed {seed}");
+        // A tenth of 16 s at 29 calls per second, and 50 calls.
+        assert!(calls <= 46 + 50, "seed {seed}: {calls} calls");
+    }
+}
+
+#[test]
+fn a_good_version_is_completed_and_gets_its_share_before() {
+    for seed in 0..40 {
+        let (stage, calls) = Simulation::run(seed, None);
+        assert_eq!(stage, Stage::Completed, "seed {seed}");
+        assert!(calls > 100, "seed {seed}: {calls} calls");
+    }
+}
