Send heartbeats whatever else there is to say

Cause: a heartbeat carried the steps of all moves and was dropped whole above 4,096 bytes. Evidence on versions had the same cap.

Fix: frames take as many steps and routes as fit, newest and failing ones first, the rest in turn; steps of removed orders are not sent; evidence is merged by route. A host that receives no heartbeats at all keeps its former share of the budgets for 30 s.

--- a/crates/basilhaven-bench/tests/gateway/hosts.rs
+++ b/crates/basilhaven-bench/tests/gateway/hosts.rs
@@ -326,3 +326,34 @@
         assert!((1..=20).contains(&follows), "followed {follows} times in 3 s");
     });
 }
+
+// Guards against heartbeats that are dropped because the steps of many moves go along with them.
+#[test]
+fn hosts_know_each_other_while_170_services_move() {
+    block_on(async {
+        let store = Store::start();
+        store.put("op", "config", &config(1, SERVICE));
+        let hosts = Network::new(64, 3).start_all(&store, &[]).await;
+        let know_all = || hosts.iter().all(|host| host.live_hosts() == Some(3));
+        wait_until("the hosts know each other", know_all).await;
+        for number in 0..170 {
+            let service = format!("bindery-por{number:03}");
+            let order = serde_json::json!({ "Service": service, "To": "v2", "RampDurationS": 16 });
+            store.put("op", &format!("rollout/{service}"), &order.to_string());
+        }
+        let has_steps = |host: &Host| {
+            let lines = host.process.lines();
+            lines.iter().filter(|line| line["event"] == "move_step").count() >= 170
+        };
+        wait_until("all hosts know all steps", || hosts.iter().all(has_steps)).await;
+        // Longer than a host without heartbeats counts as live.
+        let until = Instant::now() + Duration::from_secs(4);
+        while Instant::now() < until {
+            assert!(know_all(), "{:?}", hosts.iter().map(Host::live_hosts).collect::<Vec<_>>());
+            monoio::time::sleep(Duration::from_millis(200)).await;
+        }
+        let too_long =
+            |host: &Host| host.process.lines().iter().any(|line| line["event"] == "frame_too_long");
+        assert!(!hosts.iter().any(too_long), "a frame was too long");
+    });
+}
--- a/crates/basilhaven/src/gateway/cluster.rs
+++ b/crates/basilhaven/src/gateway/cluster.rs
@@ -54,11 +54,15 @@
 /// How long after its last heartbeat a host counts among those that may be sending calls.
 const MEMBER_RETENTION: Duration = Duration::from_secs(8);
 
+/// [`MEMBER_RETENTION`] of a host that receives no heartbeats at all. It is more likely cut off from
+/// the others than the only one left, and must not claim the common budgets for itself.
+const ISOLATED_RETENTION: Duration = Duration::from_secs(30);
+
 /// Uptime below which a host that knows no other live host assumes that it has not discovered the
 /// others yet.
 const DISCOVERY_TIME: Duration = Duration::from_millis(1500);
 
-/// The most heartbeats in one datagram, which keep it below 1,400 bytes.
+/// The most heartbeats in one datagram, which take 1,700 bytes at most.
 const MAX_HEARTBEATS: usize = 48;
 
 /// The record by which a host registers in the store.
@@ -418,7 +422,8 @@
         if self.advertised.borrow().is_stale(now) {
             let mut ready = self.live(now);
             ready.retain(|heartbeat| heartbeat.state == State::Ready);
-            self.advertised.borrow_mut().select(ready, self.upstream_slots.get(), now);
+            let retention = self.retention(now);
+            self.advertised.borrow_mut().select(ready, self.upstream_slots.get(), retention, now);
         }
         self.advertised.borrow()
     }
@@ -443,10 +448,11 @@
 
     /// Returns the number of hosts that may be sending calls, including this one.
     pub fn expected_count(&self, now: Instant) -> usize {
+        let retention = self.retention(now);
         let peers = self.peers.borrow();
         let recent = peers
             .values()
-            .filter(|peer| now.saturating_duration_since(peer.received_at) <= MEMBER_RETENTION);
+            .filter(|peer| now.saturating_duration_since(peer.received_at) <= retention);
         let known = recent.count() + 1;
         let is_young = now.saturating_duration_since(self.started) < MEMBER_RETENTION;
         match is_young {
@@ -549,8 +555,21 @@
 
     /// Removes hosts that have been silent for so long that nothing depends on them any more.
     fn remove_expired(&self, now: Instant) {
+        let retention = self.retention(now);
         let mut peers = self.peers.borrow_mut();
-        peers.retain(|_, peer| now.saturating_duration_since(peer.received_at) <= MEMBER_RETENTION);
+        peers.retain(|_, peer| now.saturating_duration_since(peer.received_at) <= retention);
+    }
+
+    /// Returns for how long after its last heartbeat a host counts among those that may be sending
+    /// calls.
+    fn retention(&self, now: Instant) -> Duration {
+        let peers = self.peers.borrow();
+        let newest =
+            peers.values().map(|peer| now.saturating_duration_since(peer.received_at)).min();
+        match newest.is_some_and(|age| age > self.dead_after()) {
+            true => ISOLATED_RETENTION,
+            false => MEMBER_RETENTION,
+        }
     }
 }
 
--- a/crates/basilhaven/src/gateway/cluster/advertised.rs
+++ b/crates/basilhaven/src/gateway/cluster/advertised.rs
@@ -89,11 +89,13 @@
 
     /// Selects the advertised hosts from the ready ones, in the same way on all hosts: as evenly
     /// from the data centres as possible, hosts of higher capacity first. Stranded hosts only fill
-    /// up to the minimum number of hosts.
+    /// up to the minimum number of hosts. Hosts that were advertised within `retention` still share
+    /// in the budgets.
     pub(super) fn select(
         &mut self,
         mut ready: Vec<cluster::Heartbeat>,
         slots: usize,
+        retention: Duration,
         now: Instant,
     ) {
         // The inverse of the order of watchers, so that the failure of one host does not take away
@@ -121,8 +123,12 @@
         self.selected_at = Some(now);
         self.current = ranked.into_iter().map(|(_, heartbeat)| heartbeat).collect();
         self.recent.retain(|host, _| !stranded.contains(host));
-        self.recent.extend(self.reaching().iter().map(|heartbeat| (heartbeat.peer_addr(), now)));
-        self.recent.retain(|_, at| now.saturating_duration_since(*at) <= cluster::MEMBER_RETENTION);
+        self.recent.retain(|_, at| now.saturating_duration_since(*at) <= retention);
+        // A host that knows no other selects itself, but the others may still be using their shares.
+        if self.current.len() > 1 || self.recent.is_empty() {
+            let reaching = self.reaching();
+            self.recent.extend(reaching.iter().map(|heartbeat| (heartbeat.peer_addr(), now)));
+        }
     }
 
     /// Returns the hosts to advertise to callers of a data centre: the hosts of that data centre
--- a/crates/basilhaven/src/gateway/cluster/datagram.rs
+++ b/crates/basilhaven/src/gateway/cluster/datagram.rs
@@ -23,19 +23,69 @@
 /// heartbeats by less.
 const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
 
-/// The longest datagram, in bytes.
-const MAX_DATAGRAM_LEN: usize = 4096;
+/// The longest datagram, in bytes. Earlier builds drop longer ones.
+pub const MAX_DATAGRAM_LEN: usize = 4096;
+
+/// The most bytes of a datagram that steps, and that evidence takes. The heartbeats in one datagram
+/// take up to 1,700 bytes.
+const MAX_STEPS_LEN: usize = 2000;
+const MAX_EVIDENCE_LEN: usize = 3500;
 
 /// A message between hosts.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
-    /// The heartbeats of the live hosts that the sender knows, its own first, and the steps of
-    /// moves.
+    /// The heartbeats of the live hosts that the sender knows, its own first, and steps of moves.
     Heartbeats(Vec<cluster::Heartbeat>, Vec<moves::Step>),
     /// The sender's evidence on the versions of a move.
     Evidence(moves::evidence::Evidence),
 }
 
+impl Frame {
+    /// Returns a frame with the first of these heartbeats and steps, as many as fit.
+    ///
+    /// Whether hosts hear of each other must not depend on how many services move.
+    pub fn heartbeats(
+        mut heartbeats: Vec<cluster::Heartbeat>,
+        mut steps: Vec<moves::Step>,
+    ) -> Frame {
+        heartbeats.truncate(cluster::MAX_HEARTBEATS);
+        let mut len = 0;
+        steps.retain(|step| {
+            let eras = (step.order.era, step.revision.era);
+            let added = encoded_len(&(step, eras));
+            let fits = len + added <= MAX_STEPS_LEN;
+            len += if fits { added } else { 0 };
+            fits
+        });
+        Frame::Heartbeats(heartbeats, steps)
+    }
+
+    /// Returns a frame with evidence on some routes, as many as fit. Each frame has others of them,
+    /// except that routes on which the new version fails go first.
+    pub fn evidence(mut evidence: moves::evidence::Evidence) -> Frame {
+        let mut routes: Vec<_> = std::mem::take(&mut evidence.routes).into_iter().collect();
+        fastrand::shuffle(&mut routes);
+        routes.sort_by_key(|(_, pair)| pair.new.failed == 0);
+        let mut len = encoded_len(&evidence);
+        for (route, pair) in routes {
+            len += encoded_len(&(&route, &pair));
+            if len > MAX_EVIDENCE_LEN {
+                break;
+            }
+            evidence.routes.insert(route, pair);
+        }
+        Frame::Evidence(evidence)
+    }
+}
+
+/// Returns the length of a value as it is encoded; a value that cannot be encoded fits nowhere.
+fn encoded_len<T>(value: &T) -> usize
+where
+    T: Serialize,
+{
+    postcard::experimental::serialized_size(value).unwrap_or(usize::MAX / 4)
+}
+
 /// Sends this host's view, which is the heartbeats and the steps of moves that it knows, to some
 /// hosts periodically.
 pub async fn gossip(replica: Rc<updates::Replica>, socket: Rc<UdpSocket>) {
@@ -66,7 +116,7 @@
 /// Sends this host's view to some hosts now.
 pub async fn send_heartbeat(replica: &updates::Replica, socket: &UdpSocket) {
     let (heartbeats, targets) = replica.members.next_heartbeat(Instant::now());
-    let frame = Frame::Heartbeats(heartbeats, replica.moves.steps(Instant::now()));
+    let frame = Frame::heartbeats(heartbeats, replica.moves.steps(Instant::now()));
     for target in targets {
         send(socket, &frame, target).await;
     }
@@ -76,13 +126,14 @@
 pub async fn broadcast(replica: &updates::Replica, socket: &UdpSocket) {
     let now = Instant::now();
     let (heartbeats, _) = replica.members.next_heartbeat(now);
-    let frame = Frame::Heartbeats(heartbeats, replica.moves.steps(Instant::now()));
+    let frame = Frame::heartbeats(heartbeats, replica.moves.steps(Instant::now()));
     for target in replica.members.live_peers(now) {
         send(socket, &frame, target).await;
     }
 }
 
-/// Sends a frame to a host.
+/// Sends a frame to a host. Frames made by [`Frame::heartbeats`] and [`Frame::evidence`] are never
+/// too long.
 pub async fn send(socket: &UdpSocket, frame: &Frame, target: SocketAddr) {
     let bytes = match encode(frame) {
         Ok(bytes) if bytes.len() <= MAX_DATAGRAM_LEN => bytes,
@@ -200,7 +251,6 @@
 /// Sends this host's view to a host that is new or starting, so that it need not wait for a
 /// heartbeat.
 async fn reply(replica: &updates::Replica, socket: &UdpSocket, target: SocketAddr) {
-    let mut heartbeats = replica.members.live(Instant::now());
-    heartbeats.truncate(cluster::MAX_HEARTBEATS);
-    send(socket, &Frame::Heartbeats(heartbeats, replica.moves.steps(Instant::now())), target).await;
+    let heartbeats = replica.members.live(Instant::now());
+    send(socket, &Frame::heartbeats(heartbeats, replica.moves.steps(Instant::now())), target).await;
 }
--- a/crates/basilhaven/src/gateway/coordinator.rs
+++ b/crates/basilhaven/src/gateway/coordinator.rs
@@ -47,7 +47,7 @@
             continue;
         };
         for evidence in replica.moves.local_evidence() {
-            datagram::send(&socket, &datagram::Frame::Evidence(evidence), coordinator).await;
+            datagram::send(&socket, &datagram::Frame::evidence(evidence), coordinator).await;
         }
     }
 }
--- a/crates/basilhaven/src/gateway/moves.rs
+++ b/crates/basilhaven/src/gateway/moves.rs
@@ -71,6 +71,9 @@
 /// Length of each later stage, as a share of the move's duration.
 pub(crate) const STAGE_LENGTH: f64 = 0.06;
 
+/// How long after it was applied a step goes before all others in messages to other hosts.
+const RECENT_STEP_TIME: Duration = Duration::from_secs(2);
+
 /// Minimum time in stage `Full` before the old version may be shut down, so that the calls that it
 /// still runs can end.
 const MIN_FULL_TIME: Duration = Duration::from_millis(1300);
@@ -319,18 +322,24 @@
         }
     }
 
-    /// Returns all known steps, to be sent to other hosts.
+    /// Returns the steps of all orders, to be sent to other hosts: those applied last come first, and
+    /// the others in a new order each time, since not all may fit into one message.
     pub fn steps(&self, now: Instant) -> Vec<Step> {
         let orders = self.orders.borrow();
         let steps = self.steps.borrow();
-        let all = steps.values().map(|(step, _)| {
-            let known = orders.get(&step.service);
-            let age = known.filter(|known| known.order.revision == step.order);
-            let age =
-                age.map_or(Duration::ZERO, |known| now.saturating_duration_since(known.given_at));
-            Step { order_age_ms: age.as_millis().min(u32::MAX.into()) as u32, ..step.clone() }
+        let ordered = steps.values().filter_map(|(step, at)| {
+            let known = orders.get(&step.service)?;
+            let age = match known.order.revision == step.order {
+                true => now.saturating_duration_since(known.given_at),
+                false => Duration::ZERO,
+            };
+            let order_age_ms = age.as_millis().min(u32::MAX.into()) as u32;
+            Some((now.saturating_duration_since(*at), Step { order_age_ms, ..step.clone() }))
         });
-        all.collect()
+        let mut all: Vec<(Duration, Step)> = ordered.collect();
+        fastrand::shuffle(&mut all);
+        all.sort_by_key(|(age, _)| (*age).min(RECENT_STEP_TIME));
+        all.into_iter().map(|(_, step)| step).collect()
     }
 
     /// Removes the orders of all services but these.
@@ -429,12 +438,19 @@
         self.local.borrow().values().cloned().collect()
     }
 
-    /// Records the evidence of another host, in place of what that host sent before.
+    /// Records the evidence of another host, in place of what that host sent before on the same
+    /// routes.
     pub fn record_remote_evidence(&self, from: SocketAddr, evidence: evidence::Evidence) {
         let orders = self.orders.borrow();
         let known = orders.get(&evidence.service);
         if known.is_some_and(|known| known.order.revision.number == evidence.order) {
-            self.remote.borrow_mut().insert((Rc::clone(&evidence.service), from), evidence);
+            let mut remote = self.remote.borrow_mut();
+            match remote.get_mut(&(Rc::clone(&evidence.service), from)) {
+                Some(known) if known.order == evidence.order => {
+                    known.routes.extend(evidence.routes)
+                }
+                _ => drop(remote.insert((Rc::clone(&evidence.service), from), evidence)),
+            }
         }
     }
 
--- a/crates/basilhaven/tests/gateway/advertised.rs
+++ b/crates/basilhaven/tests/gateway/advertised.rs
@@ -183,3 +183,21 @@
     fleet.deliver_heartbeats(&all[..12], &all, now);
     assert_eq!(fleet.hosts[0].live_count(now), 12);
 }
+
+// Guards against a host that is cut off from the others and claims the budgets for itself.
+#[test]
+fn a_host_that_receives_no_heartbeats_keeps_its_budget_share_for_a_while() {
+    let start = Instant::now();
+    let fleet = Fleet::new(13, 116, start);
+    let all: Vec<usize> = (0..13).collect();
+    let before = start + Duration::from_secs(4);
+    fleet.deliver_heartbeats(&all, &all, before);
+    let shares: Vec<f64> = fleet.hosts.iter().map(|host| host.budget_share(before)).collect();
+    for (host, share) in fleet.hosts.iter().zip(shares) {
+        for later in [2, 9, 20, 29] {
+            let now = before + Duration::from_secs(later);
+            assert!(host.budget_share(now) <= share + 1e-9, "after {later} s");
+        }
+        assert_eq!(host.budget_share(before + Duration::from_secs(31)), 1.0);
+    }
+}
--- a/crates/basilhaven/tests/gateway/main.rs
+++ b/crates/basilhaven/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod advertised;
 mod cluster;
+mod datagram;
 mod limits;
 mod moves;
 mod partition;
