Reproduce the refusals of the users' own runs: responses of the store are lost while versions are written

Hosts of several data centres refused calls on routes that had been added (CONFIG). That the users' landing failed for this cause is suspected, not shown.

--- a/crates/basilhaven-bench/src/standin/users/store.rs
+++ b/crates/basilhaven-bench/src/standin/users/store.rs
@@ -76,6 +76,10 @@
     delay: Duration,
     /// The table whose next changes are lost on their way to a reader, and how often.
     lost_changes: Option<(String, usize)>,
+    /// The share of all responses that are lost on their way.
+    loss: f64,
+    /// Rows of the list of upstreams as text, which need not be valid.
+    odd_rows: Vec<String>,
     calls: u64,
     full_reads: Vec<String>,
 }
@@ -107,10 +111,13 @@
     }
 
     fn page(&self, rows: Vec<&Row>, more: bool) -> Vec<u8> {
-        let page = serde_json::json!({
-            "Rows": rows, "MorePages": more, "Ver": self.revision, "NowS": 1.0,
-        });
-        page.to_string().into_bytes()
+        let is_list = rows.first().is_some_and(|row| row.table == "servers");
+        let odd = if is_list { &self.odd_rows[..] } else { &[] };
+        let rows = rows.into_iter().map(|row| serde_json::to_string(row).expect("plain data"));
+        let rows: Vec<String> = odd.iter().cloned().chain(rows).collect();
+        let (rows, revision) = (rows.join(","), self.revision);
+        format!("{{\"Rows\":[{rows}],\"MorePages\":{more},\"Ver\":{revision},\"NowS\":1.0}}")
+            .into_bytes()
     }
 }
 
@@ -138,6 +145,8 @@
             mode: Mode::Up,
             delay: Duration::ZERO,
             lost_changes: None,
+            loss: 0.0,
+            odd_rows: Vec::new(),
             calls: 0,
             full_reads: Vec::new(),
         };
@@ -215,18 +224,32 @@
         self.lock().delay = delay;
     }
 
+    /// Adds a row, as text that need not be valid, to all pages with rows of the list of upstreams.
+    pub fn put_odd_row(&self, row: &str) {
+        self.lock().odd_rows.push(row.to_owned());
+    }
+
     /// Loses so many responses of the feed of a table that carry changes: their connections stay open
     /// and deliver nothing more.
     pub fn lose_changes(&self, table: &str, count: usize) {
         self.lock().lost_changes = Some((table.to_owned(), count));
     }
 
+    /// Loses this share of all responses, as [`lose_changes`](Store::lose_changes) does.
+    pub fn set_loss(&self, share: f64) {
+        self.lock().loss = share;
+    }
+
     /// Returns whether the response to this request is to be lost.
     fn takes_loss(&self, request: &Request) -> bool {
         let mut state = self.lock();
+        if fastrand::f64() < state.loss {
+            return true;
+        }
         let table = request.parameter("Table").unwrap_or_default();
         let after = request.parameter("after").and_then(|n| n.parse().ok()).unwrap_or(0);
-        let has_changes = state.log.iter().any(|row| row.table == table && row.revision > after);
+        let has_changes = request.path() == "/rows-feed"
+            && state.log.iter().any(|row| row.table == table && row.revision > after);
         match &mut state.lost_changes {
             Some((of, count)) if *of == table && *count > 0 && has_changes => {
                 *count -= 1;
@@ -288,7 +311,7 @@
             match mode {
                 Mode::Up => {
                     let (status, body) = self.handle(&request);
-                    if request.path() == "/rows-feed" && self.takes_loss(&request) {
+                    if self.takes_loss(&request) {
                         std::thread::sleep(Duration::from_secs(3600));
                     }
                     self.respond(&mut stream, status, &body)?;
--- a/crates/basilhaven-bench/tests/gateway/main.rs
+++ b/crates/basilhaven-bench/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod hosts;
 mod leaving;
 mod limits;
+mod lost_responses;
 mod malformed;
 mod orders;
 mod passed_on;
