Read each row of the store by itself, and check the values of entries

One row that could not be read (no Base64, a revision over 64 bits) made its whole page unreadable, so that every host that read the list of upstreams stopped following it. Entries with impossible slots, ports, starts or sequence numbers named upstreams.

--- a/crates/basilhaven/src/gateway/store.rs
+++ b/crates/basilhaven/src/gateway/store.rs
@@ -147,6 +147,20 @@
     },
 }
 
+impl Change {
+    /// Returns this change, with an entry of an upstream that has impossible values as unreadable.
+    /// Hosts of earlier builds relay such entries.
+    pub fn checked(self) -> Change {
+        match self {
+            Change::Upstream { id, entry: Some(entry) } => match entry.check() {
+                Ok(entry) => Change::Upstream { id, entry: Some(entry) },
+                Err(findings) => Change::Unreadable { key: id, findings },
+            },
+            change => change,
+        }
+    }
+}
+
 /// Rows of a feed, and the revision up to which they are complete.
 #[derive(Debug, Clone)]
 pub struct Changes {
--- a/crates/basilhaven/src/gateway/updates.rs
+++ b/crates/basilhaven/src/gateway/updates.rs
@@ -262,6 +262,7 @@
         if revision < journal.revision() {
             return;
         }
+        let items: Vec<store::Change> = items.into_iter().map(store::Change::checked).collect();
         match is_snapshot {
             true if journal.is_restored_by(revision) => {
                 tracing::warn!(
@@ -325,6 +326,7 @@
                     record.into_iter().for_each(|r| self.members.add_seed(r.peer));
                 }
                 store::Change::Unreadable { key, findings } => {
+                    metrics::counter!("basilhaven_rows_unreadable_total").increment(1);
                     tracing::warn!(event = "row_unreadable", key = &*key, %findings);
                     // An upstream whose entry is malformed is treated as removed.
                     self.registry.apply(key, None, now);
@@ -379,11 +381,15 @@
     ) {
         match feed {
             store::Feed::Upstreams => {
-                let entries = items.iter().filter_map(|item| match item {
-                    store::Change::Upstream { id, entry } => Some((Rc::clone(id), entry.clone())),
+                let (entries, others): (Vec<_>, Vec<_>) = items
+                    .into_iter()
+                    .partition(|item| matches!(item, store::Change::Upstream { .. }));
+                let entries = entries.into_iter().filter_map(|item| match item {
+                    store::Change::Upstream { id, entry } => Some((id, entry)),
                     _ => None,
                 });
                 self.registry.replace(entries.collect(), now);
+                self.apply_changes(others, sighting, now);
                 self.config.mark_upstreams_loaded();
             }
             store::Feed::Orders => {
--- a/crates/basilhaven/src/gateway/upstream.rs
+++ b/crates/basilhaven/src/gateway/upstream.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{contact, limit, notify, pause, probe, protocol, warmup};
-use crate::{budget, http1};
+use crate::{budget, finding, http1};
 
 /// How long a connection is kept idle if the upstream gives no keep-alive time.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
@@ -61,7 +61,35 @@
     pub sequence: u64,
 }
 
+/// The most slots of an upstream; sums over thousands of upstreams stay far from the types' limits.
+const MAX_SLOTS: u32 = 100_000;
+
+/// The largest number that all writers of JSON state exactly. An upstream with a larger start or
+/// sequence number could not write a newer entry.
+const MAX_EXACT_NUMBER: u64 = 1 << 53;
+
 impl Entry {
+    /// Checks the values of an entry; an entry with impossible ones names no upstream.
+    ///
+    /// # Errors
+    ///
+    /// Returns every impossible value with its field.
+    pub fn check(self) -> Result<Entry, finding::Findings> {
+        let mut findings = finding::Findings::default();
+        if !(1..=MAX_SLOTS).contains(&self.slots) {
+            findings.add("slots", format!("is {}, 1 to {MAX_SLOTS} are possible", self.slots));
+        }
+        if self.address.port() == 0 || self.address.ip().is_unspecified() {
+            findings.add("address", format!("{} cannot be connected to", self.address));
+        }
+        for (field, number) in [("start", self.started_ms), ("sequence", self.sequence)] {
+            if number > MAX_EXACT_NUMBER {
+                findings.add(field, format!("is {number}, {MAX_EXACT_NUMBER} at most"));
+            }
+        }
+        findings.into_result(self)
+    }
+
     /// Returns whether an upstream with this entry is leaving once it has written `next`.
     fn keeps_leaving(&self, next: &Entry) -> bool {
         next.is_leaving || self.is_leaving && self.started_ms == next.started_ms
