Keep what a version has shown when another order replaces the order

Cause: hosts knew the version of the newest order and "all others"; an order back started a trial of the version that had served before, with the bad one in the part of the old.

Fix: moves::standing keeps for each service which versions are proven and which unproven. A proven version takes all calls at once; unproven ones get none while upstreams of a proven one are there, also beside a third version and after an order is removed.

--- a/crates/basilhaven/src/gateway/coordinator.rs
+++ b/crates/basilhaven/src/gateway/coordinator.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use indexmap::IndexMap;
 use monoio::net::udp::UdpSocket;
 
 use super::cluster::datagram;
@@ -74,14 +75,22 @@
 {
     for moves::Progress { service, order, age, step } in replica.moves.orders(Instant::now()) {
         let Some((step, step_age)) = step else {
-            write(store, replica, socket, first_step(&service, &order)).await;
+            let stage = match replica.moves.is_proven(&service, &order.to) {
+                true => moves::Stage::Full,
+                false => moves::Stage::Trial,
+            };
+            write(store, replica, socket, first_step(&service, &order, stage)).await;
             continue;
         };
         if replica.moves.is_step_lost(&service) {
             write(store, replica, socket, step).await;
             continue;
         }
-        let evidence = replica.moves.combined_evidence(&service);
+        // A proven version is not judged against an unproven one.
+        let evidence = match replica.moves.is_proven(&service, &order.to) {
+            true => IndexMap::new(),
+            false => replica.moves.combined_evidence(&service),
+        };
         match moves::decide(&order, step.stage, age, step_age, &evidence) {
             moves::Decision::Wait => {}
             moves::Decision::Advance(_) if step.halted => {}
@@ -107,12 +116,12 @@
     }
 }
 
-fn first_step(service: &Rc<str>, order: &moves::Order) -> moves::Step {
+fn first_step(service: &Rc<str>, order: &moves::Order, stage: moves::Stage) -> moves::Step {
     moves::Step {
         service: Rc::clone(service),
         to: Rc::clone(&order.to),
         order: order.revision,
-        stage: moves::Stage::Trial,
+        stage,
         revision: store::Revision::default(),
         halted: false,
         order_age_ms: 0,
--- a/crates/basilhaven/src/gateway/moves.rs
+++ b/crates/basilhaven/src/gateway/moves.rs
@@ -19,6 +19,7 @@
 pub mod burst;
 pub mod evidence;
 mod restore;
+pub mod standing;
 
 /// An operator's order to move a service's traffic to another version.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -212,6 +213,10 @@
     exposure: Cell<f64>,
     orders: RefCell<IndexMap<Rc<str>, KnownOrder>>,
     steps: RefCell<IndexMap<Rc<str>, (Step, Instant)>>,
+    /// What versions have shown, by service.
+    standing: RefCell<standing::Services>,
+    /// The versions of which upstreams are listed, by service with an order.
+    present: RefCell<IndexMap<Rc<str>, IndexSet<Rc<str>>>>,
     /// The evidence that this host has collected, by service.
     local: RefCell<IndexMap<Rc<str>, evidence::Evidence>>,
     /// The evidence received from other hosts, by service and sender.
@@ -230,6 +235,8 @@
             exposure: Cell::new(DEFAULT_EXPOSURE),
             orders: RefCell::default(),
             steps: RefCell::default(),
+            standing: RefCell::default(),
+            present: RefCell::default(),
             local: RefCell::default(),
             remote: RefCell::default(),
             has_read_steps: Cell::default(),
@@ -245,10 +252,32 @@
         self.exposure.set(share);
     }
 
+    /// Records the versions of which upstreams are listed when an order is applied next.
+    pub fn record_versions(&self, service: &Rc<str>, versions: IndexSet<Rc<str>>) {
+        self.present.borrow_mut().insert(Rc::clone(service), versions);
+    }
+
+    /// Returns whether the version that a service is ordered to move to is proven. It then takes all
+    /// calls at once.
+    pub fn is_proven(&self, service: &str, version: &str) -> bool {
+        self.standing.borrow().get(service).is_some_and(|versions| versions.is_proven(version))
+    }
+
+    /// Records that an order is no longer in force.
+    fn record_end(&self, service: &Rc<str>, order: &Order) {
+        let stage = self.step_of(service, order).map(|(step, _)| step.stage);
+        let is_completed = stage == Some(Stage::Completed);
+        let mut standing = self.standing.borrow_mut();
+        standing.entry(Rc::clone(service)).or_default().replace(&order.to, is_completed);
+    }
+
     /// Applies an order, or its removal, unless a newer one is known.
     pub fn apply_order(&self, service: Rc<str>, order: Option<Order>, now: Instant) {
         let Some(order) = order else {
-            self.orders.borrow_mut().shift_remove(&service);
+            let removed = self.orders.borrow_mut().shift_remove(&service);
+            if let Some(known) = removed {
+                self.record_end(&service, &known.order);
+            }
             return;
         };
         if self.is_rewritten(&service, &order) {
@@ -262,11 +291,19 @@
         if orders.get(&service).is_some_and(|known| known.order.revision >= order.revision) {
             return;
         }
+        if let Some(known) = orders.get(&service) {
+            self.record_end(&service, &known.order);
+        }
+        let present = self.present.borrow_mut().shift_remove(&service).unwrap_or_default();
+        let mut standing = self.standing.borrow_mut();
+        let versions = standing.entry(Rc::clone(&service)).or_default();
+        versions.begin(Rc::clone(&order.to), present);
         tracing::info!(
             event = "move_ordered",
             service = &*service,
             to = &*order.to,
             time_ms = order.duration.as_millis() as u64,
+            is_proven = versions.is_proven(&order.to),
         );
         self.local.borrow_mut().shift_remove(&service);
         self.remote.borrow_mut().retain(|(of, _), _| *of != service);
@@ -344,7 +381,15 @@
 
     /// Removes the orders of all services but these.
     pub fn retain_orders(&self, services: &IndexSet<Rc<str>>) {
-        self.orders.borrow_mut().retain(|service, _| services.contains(service));
+        let mut removed = Vec::new();
+        self.orders.borrow_mut().retain(|service, known| {
+            let is_kept = services.contains(service);
+            if !is_kept {
+                removed.push((Rc::clone(service), known.order.clone()));
+            }
+            is_kept
+        });
+        removed.iter().for_each(|(service, order)| self.record_end(service, order));
     }
 
     /// Returns the progress of each ordered move.
@@ -382,11 +427,21 @@
         eligible: Vec<&'a Rc<upstream::Upstream>>,
         now: Instant,
     ) -> Vec<&'a Rc<upstream::Upstream>> {
+        let standing = self.standing.borrow();
+        let versions = standing.get(service);
         let orders = self.orders.borrow();
-        let Some(known) = orders.get(service) else { return eligible };
+        let known = orders.get(service);
+        let eligible = match versions {
+            Some(versions) => versions.without_unproven(eligible),
+            None => eligible,
+        };
+        let Some(known) = known else { return eligible };
         let to = &known.order.to;
         let (new, old): (Vec<_>, Vec<_>) =
             eligible.into_iter().partition(|u| u.entry().version == *to);
+        if versions.is_some_and(|versions| versions.is_proven(to)) && !new.is_empty() {
+            return new;
+        }
         let step = self.step_of(service, &known.order);
         let share = step.as_ref().map_or(0.0, |(step, _)| step.share(self.exposure.get()));
         let stage = step.map(|(step, _)| step.stage);
--- a/crates/basilhaven/src/gateway/registry.rs
+++ b/crates/basilhaven/src/gateway/registry.rs
@@ -247,6 +247,12 @@
         upstreams.values().for_each(|u| u.close_expired_idle(now));
     }
 
+    /// Returns the versions of which upstreams of a service are listed.
+    pub fn versions_of(&self, service: &str) -> IndexSet<Rc<str>> {
+        let all = self.upstreams_of(service);
+        all.iter().map(|upstream| Rc::clone(&upstream.entry().version)).collect()
+    }
+
     /// Returns all upstreams of a service, including those that may not take calls.
     pub fn upstreams_of(&self, service: &str) -> Vec<Rc<upstream::Upstream>> {
         let upstreams = self.upstreams.borrow();
--- a/crates/basilhaven/src/gateway/updates.rs
+++ b/crates/basilhaven/src/gateway/updates.rs
@@ -308,6 +308,7 @@
             match item {
                 store::Change::Config(table) => self.config.apply(table, sighting),
                 store::Change::Move { service, order } => {
+                    self.moves.record_versions(&service, self.registry.versions_of(&service));
                     self.moves.apply_order(service, order, now);
                 }
                 store::Change::Evacuation { data_centre, is_ordered } => {
@@ -363,6 +364,7 @@
         for item in items {
             match item {
                 store::Change::Move { service, order: Some(order) } => {
+                    self.moves.record_versions(&service, self.registry.versions_of(&service));
                     self.moves.apply_listed_order(service, order, now);
                 }
                 item => self.apply_changes(vec![item], sighting, now),
--- a/crates/basilhaven/tests/gateway/moves.rs
+++ b/crates/basilhaven/tests/gateway/moves.rs
@@ -295,3 +295,78 @@
         assert!(calls > 100, "seed {seed}: {calls} calls");
     }
 }
+
+/// Returns which versions take calls, of these that have an upstream each.
+fn versions_taking_calls(moves: &Moves, versions: &[&str], now: Instant) -> Vec<String> {
+    let all: Vec<Rc<Upstream>> = versions.iter().map(|v| upstream(v, v, "a", now)).collect();
+    let choose = |_| moves.choose_version(SERVICE, all.iter().collect(), now);
+    let chosen = (0..4000).flat_map(choose).map(|u| u.entry().version.to_string());
+    chosen.collect::<std::collections::BTreeSet<String>>().into_iter().collect()
+}
+
+fn give_order(moves: &Moves, to: &str, revision: u64, present: &[&str], now: Instant) {
+    let present = present.iter().map(|version| Rc::from(*version)).collect();
+    moves.record_versions(&SERVICE.into(), present);
+    let order = Order { to: to.into(), ..order(revision) };
+    moves.apply_order(SERVICE.into(), Some(order), now);
+}
+
+// Guards against an order back to the old version that sends all calls to the unproven one.
+#[test]
+fn an_order_back_sends_all_calls_to_the_version_that_served_before() {
+    let (moves, now) = (Moves::default(), Instant::now());
+    give_order(&moves, "v2", 1, &["v1", "v2"], now);
+    moves.apply_step(step(Stage::Trial, 2), now);
+    assert_eq!(versions_taking_calls(&moves, &["v1", "v2"], now), ["v1", "v2"]);
+    give_order(&moves, "v1", 3, &["v1", "v2"], now);
+    assert!(moves.is_proven(SERVICE, "v1"));
+    assert_eq!(versions_taking_calls(&moves, &["v1", "v2"], now), ["v1"]);
+    // A coordinator of an earlier build tries the version as if it were new.
+    let trial = Step { to: "v1".into(), order: Revision::from(3), ..step(Stage::Trial, 4) };
+    moves.apply_step(trial, now);
+    assert_eq!(versions_taking_calls(&moves, &["v1", "v2"], now), ["v1"]);
+}
+
+#[test]
+fn a_version_that_was_rolled_back_gets_no_calls_while_a_third_one_is_tried() {
+    let (moves, now) = (Moves::default(), Instant::now());
+    give_order(&moves, "v2", 1, &["v1", "v2"], now);
+    moves.apply_step(step(Stage::RolledBack, 2), now);
+    give_order(&moves, "v3", 3, &["v1", "v2", "v3"], now);
+    let trial = Step { to: "v3".into(), order: Revision::from(3), ..step(Stage::Trial, 4) };
+    moves.apply_step(trial, now);
+    assert_eq!(versions_taking_calls(&moves, &["v1", "v2", "v3"], now), ["v1", "v3"]);
+    // Ordered again, it is tried again.
+    give_order(&moves, "v2", 5, &["v1", "v2", "v3"], now);
+    let again = Step { order: Revision::from(5), ..step(Stage::Trial, 6) };
+    moves.apply_step(again, now);
+    assert_eq!(versions_taking_calls(&moves, &["v1", "v2", "v3"], now), ["v1", "v2"]);
+}
+
+#[test]
+fn a_version_whose_order_is_removed_half_way_gets_no_calls() {
+    let (moves, now) = (Moves::default(), Instant::now());
+    give_order(&moves, "v2", 1, &["v1", "v2"], now);
+    moves.apply_step(step(Stage::Ramp(1), 2), now);
+    moves.apply_order(SERVICE.into(), None, now);
+    assert_eq!(versions_taking_calls(&moves, &["v1", "v2"], now), ["v1"]);
+    // It serves if nothing else does.
+    assert_eq!(versions_taking_calls(&moves, &["v2"], now), ["v2"]);
+}
+
+#[test]
+fn after_a_completed_move_the_next_version_is_tried_against_the_completed_one() {
+    let (moves, now) = (Moves::default(), Instant::now());
+    give_order(&moves, "v2", 1, &["v1", "v2"], now);
+    moves.apply_step(step(Stage::Completed, 2), now);
+    give_order(&moves, "v3", 3, &["v2", "v3"], now);
+    assert_eq!(versions_taking_calls(&moves, &["v2", "v3"], now), ["v2"]);
+    let trial = Step { to: "v3".into(), order: Revision::from(3), ..step(Stage::Trial, 4) };
+    moves.apply_step(trial, now);
+    assert_eq!(versions_taking_calls(&moves, &["v2", "v3"], now), ["v2", "v3"]);
+    // A host that has missed that the move was completed still uses what is left.
+    let missed = Moves::default();
+    give_order(&missed, "v2", 1, &["v1", "v2"], now);
+    give_order(&missed, "v3", 3, &["v2", "v3"], now);
+    assert_eq!(versions_taking_calls(&missed, &["v2", "v3"], now), ["v2"]);
+}
