--- a/crates/basilhaven-bench/src/soak/mod.rs
+++ b/crates/basilhaven-bench/src/soak/mod.rs
@@ -20,6 +20,7 @@
 pub mod links;
 pub mod plan;
 pub mod proxy;
+pub mod sockets;
 pub mod system;
 
 /// How often due steps, exited processes and readiness are checked.
--- a/crates/basilhaven-bench/src/soak/proxy.rs
+++ b/crates/basilhaven-bench/src/soak/proxy.rs
@@ -3,7 +3,7 @@
 use std::io::{self, Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use nix::sys::socket;
 use std::os::fd::AsRawFd as _;
@@ -45,8 +45,9 @@
 /// The client of a connection.
 #[derive(Debug)]
 struct Client {
-    port: u16,
-    accepted_at: Instant,
+    address: SocketAddr,
+    /// The address of the proxy to which it is connected.
+    connected_to: SocketAddr,
     /// The process that has opened the connection, once it was looked up; `None` if it has closed
     /// the connection already.
     process: OnceLock<Option<u32>>,
@@ -112,7 +113,7 @@
             return *self.lock();
         }
         let process =
-            client.process.get_or_init(|| self.links.owner(client.port, client.accepted_at));
+            client.process.get_or_init(|| self.links.owner(client.address, client.connected_to));
         let link = process.map(|process| self.links.link_of(process));
         match link {
             None | Some(Link::Open) => *self.lock(),
@@ -122,8 +123,8 @@
 
     fn connect(&self, client: TcpStream, server: SocketAddr) -> io::Result<()> {
         let opened_by = Arc::new(Client {
-            port: client.peer_addr()?.port(),
-            accepted_at: Instant::now(),
+            address: client.peer_addr()?,
+            connected_to: client.local_addr()?,
             process: OnceLock::new(),
         });
         if matches!(self.link_for(&opened_by), Link::Resets | Link::ResetsNew) {
--- a/crates/basilhaven-bench/tests/gateway/stranded.rs
+++ b/crates/basilhaven-bench/tests/gateway/stranded.rs
@@ -1,6 +1,8 @@
 //! Checks that callers are served by hosts that have lost their links to the upstreams.
 
 use std::future::Future;
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::AsRawFd as _;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -8,6 +10,7 @@
 use basilhaven_bench::soak::caller;
 use basilhaven_bench::soak::links::Links;
 use basilhaven_bench::soak::proxy::{Link, Proxy};
+use basilhaven_bench::soak::sockets;
 use basilhaven_bench::standin::block_on;
 use basilhaven_bench::standin::users::store::Store;
 use basilhaven_bench::standin::users::upstream::{Behaviour, Upstream};
@@ -26,7 +29,7 @@
 /// Callers, each of which makes about 20 calls per second.
 const CALLERS: usize = 9;
 
-/// The tests take turns: each reads the system's table of sockets for every new connection.
+/// The tests take turns, since each keeps three hosts and nine callers busy.
 static TURN: Mutex<()> = Mutex::new(());
 
 fn run_in_turn<F>(test: F)
@@ -199,3 +202,21 @@
         assert_eq!(most_runs, 2, "a call ran {most_runs} times");
     });
 }
+
+// Guards against cuts that do not know the host of a connection beside thousands of others.
+#[test]
+fn the_socket_of_a_connection_is_found_among_thousands() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    // Closed by the client first, so that thousands of sockets stay in the table.
+    for _ in 0..2000 {
+        drop(TcpStream::connect(address).unwrap());
+        drop(listener.accept().unwrap());
+    }
+    let client = TcpStream::connect(address).unwrap();
+    let inode = sockets::inode(client.local_addr().unwrap(), address).unwrap().unwrap();
+    let target = std::fs::read_link(format!("/proc/self/fd/{}", client.as_raw_fd())).unwrap();
+    assert_eq!(target.to_string_lossy(), format!("socket:[{inode}]"));
+    let unused = "127.0.0.1:1".parse().unwrap();
+    assert_eq!(sockets::inode(unused, address).unwrap(), None);
+}
