Leave unproven versions out of those that served before the first order

A host that learned of an order before the list of upstreams, and missed that the move was completed, took the completed version for both proven and unproven when the next order came, and sent its service's calls nowhere. Found by reading; after_a_completed_move_the_next_version_is_tried_against_the_completed_one failed without the change.

--- a/crates/basilhaven/src/gateway/moves/burst.rs
+++ b/crates/basilhaven/src/gateway/moves/burst.rs
@@ -57,7 +57,7 @@
     ///
     /// let age = Duration::from_secs(10);
     /// let burst = burst::Burst::of(Stage::Ramp(1), age, Duration::from_secs(20)).unwrap();
-    /// let at = |ms| Duration::from_millis(12_000 + ms);
+    /// let at = |ms: u64| Duration::from_millis(12_000 + ms);
     /// assert!(burst.is_active(at(100), 0.25) && !burst.is_active(at(900), 0.25));
     /// ```
     pub fn is_active(&self, age: Duration, share: f64) -> bool {
--- a/crates/basilhaven/src/gateway/moves/standing.rs
+++ b/crates/basilhaven/src/gateway/moves/standing.rs
@@ -36,10 +36,11 @@
     where
         I: IntoIterator<Item = Rc<str>>,
     {
+        self.unproven.shift_remove(&to);
         if self.proven.is_empty() {
-            self.proven.extend(present.into_iter().filter(|version| *version != to));
+            let served = |version: &Rc<str>| *version != to && !self.unproven.contains(version);
+            self.proven.extend(present.into_iter().filter(served));
         }
-        self.unproven.shift_remove(&to);
     }
 
     /// Records that an order to move to a version is no longer in force.
--- a/crates/basilhaven/tests/gateway/moves.rs
+++ b/crates/basilhaven/tests/gateway/moves.rs
@@ -365,8 +365,10 @@
     moves.apply_step(trial, now);
     assert_eq!(versions_taking_calls(&moves, &["v2", "v3"], now), ["v2", "v3"]);
     // A host that has missed that the move was completed still uses what is left.
-    let missed = Moves::default();
-    give_order(&missed, "v2", 1, &["v1", "v2"], now);
-    give_order(&missed, "v3", 3, &["v2", "v3"], now);
-    assert_eq!(versions_taking_calls(&missed, &["v2", "v3"], now), ["v2"]);
+    for listed_at_first in [&["v1", "v2"][..], &[]] {
+        let missed = Moves::default();
+        give_order(&missed, "v2", 1, listed_at_first, now);
+        give_order(&missed, "v3", 3, &["v2", "v3"], now);
+        assert_eq!(versions_taking_calls(&missed, &["v2", "v3"], now), ["v2"]);
+    }
 }
