Tests of the gateway: one way to start hosts that know each other, and an exact wait for odd rows

Three tests started hosts and waited for their membership by the same lines. malformed_rows_crash_no_process counted rows of two tables together, and two listed entries where it had asked for four, so that it could go on early; it now waits for exactly the expected entries to be refused and listed. Assertions are as before.

--- a/crates/basilhaven-bench/tests/gateway/fixture.rs
+++ b/crates/basilhaven-bench/tests/gateway/fixture.rs
@@ -73,6 +73,19 @@
         wait_until("all are ready", || hosts.iter().all(Host::is_ready)).await;
         hosts
     }
+
+    /// Starts all hosts as [`start_all`](Network::start_all) does, and waits until they know each
+    /// other.
+    pub async fn start_cluster(&self, store: &Store) -> Vec<Host> {
+        let hosts = self.start_all(store, &[]).await;
+        wait_until("the hosts know each other", || know_each_other(&hosts)).await;
+        hosts
+    }
+}
+
+/// Returns whether each of these hosts considers all of them live, and no others.
+pub fn know_each_other(hosts: &[Host]) -> bool {
+    hosts.iter().all(|host| host.live_hosts() == Some(hosts.len()))
 }
 
 /// Waits until a condition holds; panics with `what` after a timeout.
--- a/crates/basilhaven-bench/tests/gateway/hosts.rs
+++ b/crates/basilhaven-bench/tests/gateway/hosts.rs
@@ -10,7 +10,9 @@
 use basilhaven_bench::standin::users::store::{Mode, Store};
 use basilhaven_bench::standin::users::upstream::{Behaviour, Upstream};
 
-use crate::fixture::{config, receive, send, wait_until, Fixture, Host, Network, PROMPT, SERVICE};
+use crate::fixture::{
+    config, know_each_other, receive, send, wait_until, Fixture, Host, Network, PROMPT, SERVICE,
+};
 
 async fn start_three(store: &Store, number: u8) -> Vec<Host> {
     let network = Network::new(number, 3);
@@ -333,9 +335,7 @@
     block_on(async {
         let store = Store::start();
         store.put("op", "config", &config(1, SERVICE));
-        let hosts = Network::new(64, 3).start_all(&store, &[]).await;
-        let know_all = || hosts.iter().all(|host| host.live_hosts() == Some(3));
-        wait_until("the hosts know each other", know_all).await;
+        let hosts = Network::new(64, 3).start_cluster(&store).await;
         for number in 0..170 {
             let service = format!("bindery-por{number:03}");
             let order = serde_json::json!({ "Service": service, "To": "v2", "RampDurationS": 16 });
@@ -349,7 +349,11 @@
         // Longer than a host without heartbeats counts as live.
         let until = Instant::now() + Duration::from_secs(4);
         while Instant::now() < until {
-            assert!(know_all(), "{:?}", hosts.iter().map(Host::live_hosts).collect::<Vec<_>>());
+            assert!(
+                know_each_other(&hosts),
+                "{:?}",
+                hosts.iter().map(Host::live_hosts).collect::<Vec<_>>()
+            );
             monoio::time::sleep(Duration::from_millis(200)).await;
         }
         let too_long =
--- a/crates/basilhaven-bench/tests/gateway/lost_responses.rs
+++ b/crates/basilhaven-bench/tests/gateway/lost_responses.rs
@@ -23,9 +23,7 @@
     block_on(async {
         let store = Store::start();
         store.put("op", "config", &config(1, SERVICE));
-        let hosts = Network::new(66, 6).start_all(&store, &[]).await;
-        let know_all = || hosts.iter().all(|host| host.live_hosts() == Some(6));
-        wait_until("the hosts know each other", know_all).await;
+        let hosts = Network::new(66, 6).start_cluster(&store).await;
         for round in 0..3 {
             store.set_loss(LOST_SHARE);
             let newest = 1 + (round + 1) * VERSIONS;
--- a/crates/basilhaven-bench/tests/gateway/malformed.rs
+++ b/crates/basilhaven-bench/tests/gateway/malformed.rs
@@ -1,6 +1,7 @@
 //! Checks that malformed rows, load reports and messages between hosts crash no process and leave
 //! valid ones in force.
 
+use std::collections::BTreeSet;
 use std::io::Write as _;
 use std::net::{Ipv4Addr, SocketAddr, TcpStream, UdpSocket};
 use std::time::{Duration, Instant};
@@ -132,8 +133,14 @@
             fixture.store.put("hosts", &format!("127.0.0.1:{number}"), row);
         }
         wait_until("the rows are read", || {
-            fixture.host.process.event_count("row_unreadable") >= rows.len() - ACCEPTED
-                && fixture.host.process.event_count("upstream_listed") >= ACCEPTED
+            let lines = fixture.host.process.lines();
+            let extreme = |event: &str, field: &str| {
+                let of_event = lines.iter().filter(|line| line["event"] == event);
+                let keys = of_event.filter_map(|line| line[field].as_str());
+                keys.filter(|key| key.starts_with("i-extreme-")).collect::<BTreeSet<&str>>().len()
+            };
+            extreme("row_unreadable", "key") == rows.len() - ACCEPTED
+                && extreme("upstream_listed", "upstream") == ACCEPTED
         })
         .await;
         // Accepted entries may get calls, which end at once: all but one of these entries have the
--- a/crates/basilhaven-bench/tests/gateway/orders.rs
+++ b/crates/basilhaven-bench/tests/gateway/orders.rs
@@ -234,12 +234,10 @@
     block_on(async {
         let store = Store::start();
         store.put("op", "config", &config(1, SERVICE));
-        let hosts = Network::new(63, 4).start_all(&store, &[]).await;
+        let hosts = Network::new(63, 4).start_cluster(&store).await;
         let has_version = |host: &Host, version: u64| {
             host.process.lines().iter().any(|line| line["version"] == version)
         };
-        let all_know = || hosts.iter().all(|host| host.live_hosts() == Some(4));
-        wait_until("the hosts know each other", all_know).await;
         for version in 2..6 {
             // Both watchers lose the change in every second round, and one of them in the others.
             store.lose_changes("op", 1 + version as usize % 2);
