Start without the settings of parts that a deployment does not have

An unknown kind of route made the whole configuration unreadable.

An empty setting is now the same as an absent one. Without an exposure, moves are off, which one log line says, and orders to move a service are ignored with a line each. Entries of a configuration are read one by one: one that cannot be read costs only itself and is logged with its place.

--- a/crates/basilhaven-bench/src/gateway.rs
+++ b/crates/basilhaven-bench/src/gateway.rs
@@ -97,6 +97,7 @@
             ("BASILHAVEN_STORE", &*store),
             ("BASILHAVEN_SEEDS", seeds),
             ("BASILHAVEN_GRACE_S", "4"),
+            ("BASILHAVEN_EXPOSURE_SHARE", "0.1"),
         ];
         settings.extend_from_slice(extra_settings);
         let program = process::program("basilhavend");
--- a/crates/basilhaven/src/gateway/config.rs
+++ b/crates/basilhaven/src/gateway/config.rs
@@ -77,6 +77,10 @@
             routes,
             era = %sighting.era,
         );
+        for finding in table.skipped.iter() {
+            metrics::counter!("basilhaven_config_entries_skipped_total").increment(1);
+            tracing::warn!(event = "config_entry_skipped", version = table.version, %finding);
+        }
         *self.table.borrow_mut() = Some(table);
         self.sighting.set(sighting);
         self.changed.notify();
--- a/crates/basilhaven/src/gateway/moves.rs
+++ b/crates/basilhaven/src/gateway/moves.rs
@@ -210,7 +210,9 @@
 /// The moves known to this host, and the evidence on them.
 #[derive(Debug)]
 pub struct Moves {
-    exposure: Cell<f64>,
+    /// The share of a service's calls that an unproven version may get; `None` if services are not
+    /// moved between versions.
+    exposure: Cell<Option<f64>>,
     orders: RefCell<IndexMap<Rc<str>, KnownOrder>>,
     steps: RefCell<IndexMap<Rc<str>, (Step, Instant)>>,
     /// What versions have shown, by service.
@@ -232,7 +234,7 @@
 impl Default for Moves {
     fn default() -> Moves {
         Moves {
-            exposure: Cell::new(DEFAULT_EXPOSURE),
+            exposure: Cell::new(Some(DEFAULT_EXPOSURE)),
             orders: RefCell::default(),
             steps: RefCell::default(),
             standing: RefCell::default(),
@@ -247,8 +249,9 @@
 }
 
 impl Moves {
-    /// Sets the exposure: the share of a service's calls that an unproven version may get.
-    pub fn set_exposure(&self, share: f64) {
+    /// Sets the exposure: the share of a service's calls that an unproven version may get. Without
+    /// one, services are not moved between versions, and orders to move one are ignored.
+    pub fn set_exposure(&self, share: Option<f64>) {
         self.exposure.set(share);
     }
 
@@ -280,6 +283,10 @@
             }
             return;
         };
+        if self.exposure.get().is_none() {
+            tracing::warn!(event = "move_ignored", service = &*service, to = &*order.to);
+            return;
+        }
         if self.is_rewritten(&service, &order) {
             self.rebase_order(&service, order.revision);
             if let Some(known) = self.orders.borrow_mut().get_mut(&service) {
@@ -443,7 +450,8 @@
             return new;
         }
         let step = self.step_of(service, &known.order);
-        let share = step.as_ref().map_or(0.0, |(step, _)| step.share(self.exposure.get()));
+        let exposure = self.exposure.get().unwrap_or_default();
+        let share = step.as_ref().map_or(0.0, |(step, _)| step.share(exposure));
         let stage = step.map(|(step, _)| step.stage);
         let is_completed = stage == Some(Stage::Completed);
         // Before the move is completed, and below a share of 1, the new version takes a call only
--- a/crates/basilhaven/src/gateway/route.rs
+++ b/crates/basilhaven/src/gateway/route.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::profile;
+use crate::{finding, profile};
 
 /// Step between two choices of a traffic split: multiples of the golden ratio, modulo 1, are spread
 /// evenly.
@@ -132,6 +132,10 @@
     pub services: IndexMap<Rc<str>, Rc<Service>>,
     /// Limits on callers.
     pub limits: Limits,
+    /// What is wrong with the entries of the configuration that are not in force. Known only to
+    /// hosts that read the configuration from the store.
+    #[serde(skip)]
+    pub skipped: finding::Findings,
 }
 
 impl Table {
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -136,6 +136,9 @@
         members.add_seed(SocketAddr::new(seed.ip(), record.peer.port()));
     }
     let replica = Rc::new(updates::Replica::new(Rc::clone(&members), settings.is_first_start));
+    if settings.exposure_share.is_none() {
+        tracing::info!(event = "feature_off", feature = "moves", setting = "--exposure-share");
+    }
     replica.moves.set_exposure(settings.exposure_share);
     replica.set_orders_within(settings.orders_within);
     replica.registry.set_heartbeat_interval(settings.heartbeat);
--- a/crates/basilhaven/src/gateway/settings.rs
+++ b/crates/basilhaven/src/gateway/settings.rs
@@ -11,6 +11,17 @@
 /// Units of capacity per core, so that hosts can state their capacity to a twentieth of a core.
 const CAPACITY_PER_CORE: f64 = 20.0;
 
+/// Values of optional settings that are absent or empty. A template renders a setting that a
+/// deployment does not have as an empty text.
+const DEFAULT_ENTRY_TTL_S: f64 = 5.0;
+const DEFAULT_GRACE_S: f64 = 6.0;
+const DEFAULT_RETRY_RATIO: f64 = 0.2;
+const DEFAULT_RETRY_SLACK: f64 = 50.0;
+const DEFAULT_ORDERS_WITHIN_S: f64 = 2.0;
+const DEFAULT_PROBE_RATE: f64 = 60.0;
+const DEFAULT_HEARTBEAT_S: f64 = 1.5;
+const DEFAULT_CORES: f64 = 1.0;
+
 /// The settings as given, before validation.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(
@@ -47,37 +58,38 @@
     #[bpaf(long, env("BASILHAVEN_SEEDS"), argument("ADDRS"), fallback(String::new()))]
     pub seeds: String,
     /// Whether the whole system starts for the first time: true or false
-    #[bpaf(long, env("BASILHAVEN_FIRST_START"), argument("BOOL"), fallback("false".to_owned()))]
+    #[bpaf(long, env("BASILHAVEN_FIRST_START"), argument("BOOL"), fallback(String::new()))]
     pub first_start: String,
     /// Maximum time for which callers may use a directory response, in seconds
-    #[bpaf(long, env("BASILHAVEN_ENTRY_TTL_S"), argument("S"), fallback("5".to_owned()))]
+    #[bpaf(long, env("BASILHAVEN_ENTRY_TTL_S"), argument("S"), fallback(String::new()))]
     pub entry_ttl_s: String,
     /// Time between SIGTERM and SIGKILL, in seconds
-    #[bpaf(long, env("BASILHAVEN_GRACE_S"), argument("S"), fallback("6".to_owned()))]
+    #[bpaf(long, env("BASILHAVEN_GRACE_S"), argument("S"), fallback(String::new()))]
     pub grace_s: String,
     /// Retries allowed for each call, over all hosts
-    #[bpaf(long, env("BASILHAVEN_RETRY_RATIO"), argument("N"), fallback("0.2".to_owned()))]
+    #[bpaf(long, env("BASILHAVEN_RETRY_RATIO"), argument("N"), fallback(String::new()))]
     pub retry_ratio: String,
     /// Additional retries allowed within the retry window, over all hosts
-    #[bpaf(long, env("BASILHAVEN_RETRY_SLACK"), argument("N"), fallback("50".to_owned()))]
+    #[bpaf(long, env("BASILHAVEN_RETRY_SLACK"), argument("N"), fallback(String::new()))]
     pub retry_slack: String,
-    /// Share of a service's calls that a new version may get before it is proved good
-    #[bpaf(long, env("BASILHAVEN_EXPOSURE_SHARE"), argument("N"), fallback("0.1".to_owned()))]
+    /// Share of a service's calls that a new version may get before it is proved good; moves of
+    /// services between versions are off without it
+    #[bpaf(long, env("BASILHAVEN_EXPOSURE_SHARE"), argument("N"), fallback(String::new()))]
     pub exposure_share: String,
     /// Time within which operators' orders are to be in force, in seconds
-    #[bpaf(long, env("BASILHAVEN_ORDERS_WITHIN_S"), argument("S"), fallback("2".to_owned()))]
+    #[bpaf(long, env("BASILHAVEN_ORDERS_WITHIN_S"), argument("S"), fallback(String::new()))]
     pub orders_within_s: String,
     /// Probes of each upstream a second, over all hosts
-    #[bpaf(long, env("BASILHAVEN_PROBE_RATE"), argument("N"), fallback("60".to_owned()))]
+    #[bpaf(long, env("BASILHAVEN_PROBE_RATE"), argument("N"), fallback(String::new()))]
     pub probe_rate: String,
     /// Interval at which an upstream renews its entry in the store, in seconds
-    #[bpaf(long, env("BASILHAVEN_HEARTBEAT_S"), argument("S"), fallback("1.5".to_owned()))]
+    #[bpaf(long, env("BASILHAVEN_HEARTBEAT_S"), argument("S"), fallback(String::new()))]
     pub heartbeat_s: String,
     /// Capacity of this host, in cores
-    #[bpaf(long, env("BASILHAVEN_CORES"), argument("N"), fallback("1".to_owned()))]
+    #[bpaf(long, env("BASILHAVEN_CORES"), argument("N"), fallback(String::new()))]
     pub cores: String,
     /// Log level: error, warn, info or debug; every attempt is logged at info
-    #[bpaf(long, env("BASILHAVEN_LOG"), argument("LEVEL"), fallback("info".to_owned()))]
+    #[bpaf(long, env("BASILHAVEN_LOG"), argument("LEVEL"), fallback(String::new()))]
     pub log: String,
 }
 
@@ -112,8 +124,9 @@
     pub retry_ratio: f64,
     /// Additional retries allowed within the retry window, over all hosts.
     pub retry_slack: f64,
-    /// Share of a service's calls that a new version may get before it is proved good.
-    pub exposure_share: f64,
+    /// Share of a service's calls that a new version may get before it is proved good; `None` if
+    /// services are not moved between versions.
+    pub exposure_share: Option<f64>,
     /// Time within which operators' orders are to be in force.
     pub orders_within: Duration,
     /// Probes of each upstream a second, over all hosts.
@@ -126,6 +139,20 @@
     pub log: crate::settings::Level,
 }
 
+/// Reads a number of 0 or more. Returns `Some(None)` if the text is empty, and `None` after adding a
+/// finding if it is invalid.
+fn read_number(findings: &mut finding::Findings, flag: &str, text: &str) -> Option<Option<f64>> {
+    if text.trim().is_empty() {
+        return Some(None);
+    }
+    let read = findings.ok_or_add(flag, text.trim().parse::<f64>())?;
+    let is_valid = read.is_finite() && read >= 0.0;
+    if !is_valid {
+        findings.add(flag, "must be a number of 0 or more");
+    }
+    is_valid.then_some(Some(read))
+}
+
 impl TryFrom<Raw> for Settings {
     type Error = finding::Findings;
 
@@ -146,25 +173,27 @@
         let store = address("--store", &raw.store);
         let seeds = raw.seeds.split(',').map(str::trim).filter(|seed| !seed.is_empty());
         let seeds: Vec<_> = seeds.filter_map(|seed| address("--seeds", seed)).collect();
-        let first_start = findings.ok_or_add("--first-start", raw.first_start.parse::<bool>());
-        let mut number = |flag: &str, text: &str| {
-            let read = findings.ok_or_add(flag, text.parse::<f64>())?;
-            let is_valid = read.is_finite() && read >= 0.0;
-            if !is_valid {
-                findings.add(flag, "must be a number of 0 or more");
-            }
-            is_valid.then_some(read)
+        let first_start = match raw.first_start.trim() {
+            "" => Some(false),
+            text => findings.ok_or_add("--first-start", text.parse::<bool>()),
+        };
+        let mut number = |flag: &str, text: &str, default: f64| {
+            read_number(&mut findings, flag, text).map(|read| read.unwrap_or(default))
+        };
+        let entry_ttl = number("--entry-ttl-s", &raw.entry_ttl_s, DEFAULT_ENTRY_TTL_S);
+        let grace = number("--grace-s", &raw.grace_s, DEFAULT_GRACE_S);
+        let retry_ratio = number("--retry-ratio", &raw.retry_ratio, DEFAULT_RETRY_RATIO);
+        let retry_slack = number("--retry-slack", &raw.retry_slack, DEFAULT_RETRY_SLACK);
+        let orders_within =
+            number("--orders-within-s", &raw.orders_within_s, DEFAULT_ORDERS_WITHIN_S);
+        let probe_rate = number("--probe-rate", &raw.probe_rate, DEFAULT_PROBE_RATE);
+        let heartbeat = number("--heartbeat-s", &raw.heartbeat_s, DEFAULT_HEARTBEAT_S);
+        let cores = number("--cores", &raw.cores, DEFAULT_CORES);
+        let exposure_share = read_number(&mut findings, "--exposure-share", &raw.exposure_share);
+        let log = match raw.log.trim() {
+            "" => Some(crate::settings::Level::default()),
+            text => findings.ok_or_add("--log", crate::settings::Level::try_from(text)),
         };
-        let entry_ttl = number("--entry-ttl-s", &raw.entry_ttl_s);
-        let grace = number("--grace-s", &raw.grace_s);
-        let retry_ratio = number("--retry-ratio", &raw.retry_ratio);
-        let retry_slack = number("--retry-slack", &raw.retry_slack);
-        let exposure_share = number("--exposure-share", &raw.exposure_share);
-        let orders_within = number("--orders-within-s", &raw.orders_within_s);
-        let probe_rate = number("--probe-rate", &raw.probe_rate);
-        let heartbeat = number("--heartbeat-s", &raw.heartbeat_s);
-        let cores = number("--cores", &raw.cores);
-        let log = findings.ok_or_add("--log", crate::settings::Level::try_from(&*raw.log));
         let settings = (|| {
             Some(Settings {
                 name: raw.name.as_str().into(),
--- a/crates/basilhaven/src/settings.rs
+++ b/crates/basilhaven/src/settings.rs
@@ -106,7 +106,7 @@
 }
 
 /// A log level.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, derive_more::Display)]
 pub enum Level {
     /// Events that need an operator's attention.
     #[display("error")]
@@ -115,6 +115,7 @@
     #[display("warn")]
     Warn,
     /// Decisions and changes of state.
+    #[default]
     #[display("info")]
     Info,
     /// All events.
--- a/crates/basilhaven/tests/gateway/main.rs
+++ b/crates/basilhaven/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod registry;
 mod restore;
 mod selection;
+mod settings;
 mod updates;
 
 use std::rc::Rc;
