Treat status codes outside of 100 to 599 as a malformed response

Other systems have handed the status 000 of an upstream in trouble to callers. Here 000 to 099 were already malformed, but 600 to 999 reached callers and counted as successful calls of the upstream. The test failed on 600 before.

--- a/crates/basilhaven/src/http1/head.rs
+++ b/crates/basilhaven/src/http1/head.rs
@@ -45,6 +45,9 @@
     }
 }
 
+/// The status codes that HTTP defines.
+const STATUS_CODES: std::ops::RangeInclusive<u16> = 100..=599;
+
 /// Header fields that apply to a single connection, not to the message.
 const HOP_BY_HOP: [HeaderName; 9] = [
     header::CONNECTION,
@@ -117,6 +120,9 @@
         Decoded::Some(parts) => parts,
         _ => return Err(Error::malformed("malformed response head")),
     };
+    if !STATUS_CODES.contains(&parts.status.as_u16()) {
+        return Err(Error::malformed("status code outside of 100 to 599"));
+    }
     let declared = declared_framing(&parts.headers)?;
     let has_no_body = method == http::Method::HEAD
         || parts.status.is_informational()
--- a/crates/basilhaven/tests/http1.rs
+++ b/crates/basilhaven/tests/http1.rs
@@ -170,3 +170,21 @@
         .tests(20_000)
         .quickcheck(decode as fn(Vec<u8>) -> bool);
 }
+
+/// A caller got a status that HTTP does not define, such as 000 or 600, as the response to its call.
+#[test]
+fn a_status_outside_of_the_protocol_is_not_a_response() {
+    for status in ["000", "001", "099", "600", "999", "0", "20", "2000", "-01", "2x0", ""] {
+        let text = format!("HTTP/1.1 {status} Trouble\r\ncontent-length: 0\r\n\r\n");
+        let mut buffer = BytesMut::from(text.as_bytes());
+        let response = head::decode_response(&mut buffer, &http::Method::GET, 1024);
+        let category = response.map(|response| response.map(|r| r.parts.status));
+        assert_eq!(category.unwrap_err().category(), Category::Malformed, "{status:?}");
+    }
+    for status in ["100", "200", "599"] {
+        let text = format!("HTTP/1.1 {status} \r\ncontent-length: 0\r\n\r\n");
+        let mut buffer = BytesMut::from(text.as_bytes());
+        let response = head::decode_response(&mut buffer, &http::Method::GET, 1024);
+        assert_eq!(response.unwrap().unwrap().parts.status.as_str(), status);
+    }
+}
