Direct callers to hosts in proportion to their capacity

Callers choose uniformly among the hosts of a directory response, so a host of 0.1 core with a link of 10 Mbit/s got as many calls as one of 0.5 cores with 200 Mbit/s. Small hosts were saturated in bursts of uploads: probes timed out, services counted as lost, and calls were passed on over the same full link.

A response now names a random sample, weighted by capacity; with equal capacities it names all hosts, as before. Advertised hosts share the common budgets by capacity too.

Both tests failed before.

--- a/crates/basilhaven/src/gateway/cluster/advertised.rs
+++ b/crates/basilhaven/src/gateway/cluster/advertised.rs
@@ -24,6 +24,10 @@
 /// centres.
 const ENOUGH_LOCAL: usize = 8;
 
+/// Minimum number of hosts that a directory response names, if there are that many: a caller that
+/// cannot connect to one of them tries the others.
+const MIN_NAMED: usize = 3;
+
 /// Share of the common budgets that is divided equally among all hosts, because callers with an old
 /// directory response still call hosts that are no longer advertised; the rest is divided among the
 /// advertised hosts.
@@ -57,8 +61,8 @@
     /// When the current hosts were selected; `None` if they have to be selected again.
     selected_at: Option<Instant>,
     current: Vec<cluster::Heartbeat>,
-    /// When each host that was advertised recently was last selected.
-    recent: IndexMap<SocketAddr, Instant>,
+    /// When each host that was advertised recently was last selected, and its capacity.
+    recent: IndexMap<SocketAddr, (Instant, u8)>,
 }
 
 impl Hosts {
@@ -123,11 +127,11 @@
         self.selected_at = Some(now);
         self.current = ranked.into_iter().map(|(_, heartbeat)| heartbeat).collect();
         self.recent.retain(|host, _| !stranded.contains(host));
-        self.recent.retain(|_, at| now.saturating_duration_since(*at) <= retention);
+        self.recent.retain(|_, (at, _)| now.saturating_duration_since(*at) <= retention);
         // A host that knows no other selects itself, but the others may still be using their shares.
         if self.current.len() > 1 || self.recent.is_empty() {
             let reaching = self.reaching();
-            self.recent.extend(reaching.iter().map(|heartbeat| (heartbeat.peer_addr(), now)));
+            self.recent.extend(reaching.iter().map(|h| (h.peer_addr(), (now, h.capacity))));
         }
     }
 
@@ -137,23 +141,48 @@
         let (local, remote): (Vec<&cluster::Heartbeat>, Vec<&cluster::Heartbeat>) =
             self.current.iter().partition(|heartbeat| heartbeat.data_centre == data_centre);
         let remote = if local.len() < ENOUGH_LOCAL { remote } else { Vec::new() };
-        local.into_iter().chain(remote).map(cluster::Heartbeat::caller_addr).collect()
+        let named = by_capacity(local.into_iter().chain(remote).collect());
+        named.into_iter().map(cluster::Heartbeat::caller_addr).collect()
     }
 
-    /// Returns the share of the host `own`, one of `all` hosts, in the common budgets.
+    /// Returns the share of the host `own`, one of `all` hosts, in the common budgets. Advertised
+    /// hosts share by their capacity, as they are named to callers.
     pub(super) fn share(&self, own: SocketAddr, all: usize) -> f64 {
         let equal = EQUAL_SHARE / all as f64;
         // A host that was advertised recently still gets calls for a while.
-        match self.recent.contains_key(&own) {
-            true => equal + (1.0 - EQUAL_SHARE) / self.recent.len() as f64,
-            false => equal,
+        match self.recent.get(&own) {
+            Some((_, capacity)) => {
+                let total: u32 = self.recent.values().map(|(_, c)| u32::from(*c)).sum();
+                equal + (1.0 - EQUAL_SHARE) * f64::from(*capacity) / f64::from(total.max(1))
+            }
+            None => equal,
         }
     }
 
     /// Shifts the times of selection by a pause of the process; see
     /// [`Members::record_pause`](cluster::Members::record_pause).
     pub(super) fn record_pause(&mut self, length: Duration) {
-        self.recent.values_mut().for_each(|at| *at += length);
+        self.recent.values_mut().for_each(|(at, _)| *at += length);
         self.invalidate();
     }
 }
+
+/// Returns the hosts that one directory response names: a random sample in which a host is the
+/// likelier the larger its capacity is. All hosts are named if their capacities are equal.
+///
+/// Answers load at which the smaller hosts are saturated while the larger ones are nearly idle:
+/// callers choose uniformly among the hosts that are named to them.
+fn by_capacity(hosts: Vec<&cluster::Heartbeat>) -> Vec<&cluster::Heartbeat> {
+    let total: u32 = hosts.iter().map(|host| u32::from(host.capacity)).sum();
+    let largest = hosts.iter().map(|host| u32::from(host.capacity)).max().unwrap_or(1).max(1);
+    let count = ((total / largest) as usize).max(MIN_NAMED);
+    if count >= hosts.len() {
+        return hosts;
+    }
+    // Weighted sampling without replacement: the largest keys `random^(1 / weight)`.
+    let key = |host: &cluster::Heartbeat| fastrand::f64().ln() / f64::from(host.capacity.max(1));
+    let mut keyed: Vec<(f64, &cluster::Heartbeat)> =
+        hosts.into_iter().map(|host| (key(host), host)).collect();
+    keyed.sort_by(|a, b| b.0.total_cmp(&a.0));
+    keyed.into_iter().take(count).map(|(_, host)| host).collect()
+}
--- a/crates/basilhaven/tests/gateway/advertised.rs
+++ b/crates/basilhaven/tests/gateway/advertised.rs
@@ -17,13 +17,13 @@
     SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, host as u8 + 1), port).into()
 }
 
-fn host(number: usize, start: Instant) -> Members {
+fn host(number: usize, capacity: u8, start: Instant) -> Members {
     let record = Record {
         peer: address(number, 7000),
         callers: address(number, 8000),
         data_centre: DATA_CENTRES[number % DATA_CENTRES.len()].into(),
     };
-    let members = Members::new(&record, 10, start);
+    let members = Members::new(&record, capacity, start);
     members.set_state(State::Ready);
     members
 }
@@ -35,7 +35,14 @@
 
 impl Fleet {
     fn new(count: usize, slots: usize, start: Instant) -> Fleet {
-        let hosts: Vec<Members> = (0..count).map(|number| host(number, start)).collect();
+        Fleet::with_capacities(&vec![10; count], slots, start)
+    }
+
+    fn with_capacities(capacities: &[u8], slots: usize, start: Instant) -> Fleet {
+        let count = capacities.len();
+        let numbered = capacities.iter().enumerate();
+        let hosts: Vec<Members> =
+            numbered.map(|(number, capacity)| host(number, *capacity, start)).collect();
         hosts.iter().for_each(|host| host.set_upstream_slots(slots));
         let fleet = Fleet { hosts };
         let all: Vec<usize> = (0..count).collect();
@@ -201,3 +208,52 @@
         assert_eq!(host.budget_share(before + Duration::from_secs(31)), 1.0);
     }
 }
+
+/// Six hosts of half a core and many of a tenth; the directory advertises all large ones and some
+/// small ones.
+fn uneven_fleet(start: Instant) -> (Vec<u8>, Fleet) {
+    let capacities: Vec<u8> = (0..48).map(|number| if number < 6 { 10 } else { 2 }).collect();
+    let fleet = Fleet::with_capacities(&capacities, 24 * 32, start);
+    (capacities, fleet)
+}
+
+/// Callers came to small hosts as often as to large ones, which saturated the small ones.
+#[test]
+fn callers_are_directed_to_hosts_by_capacity() {
+    let start = Instant::now();
+    let (capacities, fleet) = uneven_fleet(start);
+    let now = start + Duration::from_secs(3);
+    let all: Vec<usize> = (0..48).collect();
+    fleet.deliver_heartbeats(&all, &all, now);
+    let mut calls = vec![0.0; capacities.len()];
+    for caller in 0..30_000 {
+        let named = fleet.hosts[0].advertised(DATA_CENTRES[caller % 3], now).expect("hosts");
+        assert!(named.len() >= 3, "{named:?}");
+        let chosen = fastrand::choice(named).expect("a host");
+        let number = (0..48).find(|&n| address(n, 8000) == chosen).expect("a known host");
+        calls[number] += 1.0 / f64::from(capacities[number]);
+    }
+    let mean = |hosts: std::ops::Range<usize>| {
+        let called: Vec<f64> = calls[hosts].iter().copied().filter(|&load| load > 0.0).collect();
+        called.iter().sum::<f64>() / called.len() as f64
+    };
+    let (large, small) = (mean(0..6), mean(6..48));
+    assert!(small < 2.0 * large, "load by capacity: {small} of small hosts, {large} of large ones");
+}
+
+/// A host that gets more calls than others needs more probes for them.
+#[test]
+fn budget_shares_follow_the_capacity_and_add_up_to_one() {
+    let start = Instant::now();
+    let (_, fleet) = uneven_fleet(start);
+    let now = start + Duration::from_secs(3);
+    let all: Vec<usize> = (0..48).collect();
+    fleet.deliver_heartbeats(&all, &all, now);
+    let shares: Vec<f64> = fleet.hosts.iter().map(|host| host.budget_share(now)).collect();
+    let total: f64 = shares.iter().sum();
+    assert!((total - 1.0).abs() < 1e-9, "{total}");
+    let smallest_advertised =
+        shares[6..].iter().copied().filter(|&share| share > 0.2 / 48.0 + 1e-9).reduce(f64::min);
+    let ratio = shares[0] / smallest_advertised.expect("a small advertised host");
+    assert!((2.0..5.0).contains(&ratio), "{ratio}");
+}
