Log a list of upstreams in one line

Cause: a host that starts writes a JSON line for each of the 262 entries of the list before it is ready, at the time at which a tenth of a core has most to do.

Change: a list that adds or lacks more than eight upstreams is logged in one line (upstreams_listed) with the counts. Shorter lists and changes of single entries keep a line each. Waiting tasks are notified once for a list, and an upstream that is missing from several lists is logged as unlisted once.

--- a/crates/basilhaven/src/gateway/registry.rs
+++ b/crates/basilhaven/src/gateway/registry.rs
@@ -30,6 +30,10 @@
 /// copy that still has them.
 const REMOVAL_MEMORY: Duration = Duration::from_secs(60);
 
+/// The most upstreams that one list may add or remove with a log line for each; one line summarizes
+/// more. A host that starts on a tenth of a core reads hundreds of entries before it is ready.
+const MAX_LINES_PER_LIST: usize = 8;
+
 /// The last entry of an upstream that was removed.
 #[derive(Debug, Clone, Copy)]
 struct Removed {
@@ -85,6 +89,18 @@
 
     /// Applies an entry of the store's upstream list, or the removal of the entry.
     pub fn apply(&self, id: Rc<str>, entry: Option<upstream::Entry>, now: Instant) {
+        self.apply_entry(id, entry, true, now);
+        self.changed.notify();
+    }
+
+    /// Applies an entry or its removal; with `is_logged`, an added or removed upstream is logged.
+    fn apply_entry(
+        &self,
+        id: Rc<str>,
+        entry: Option<upstream::Entry>,
+        is_logged: bool,
+        now: Instant,
+    ) {
         let known = self.upstreams.borrow().get(&id).cloned();
         match (known, entry) {
             (Some(known), Some(entry)) => known.update(entry, now),
@@ -93,23 +109,26 @@
             }
             (None, Some(mut entry)) => {
                 entry.is_leaving |= self.was_leaving(&id, &entry);
-                tracing::info!(
-                    event = "upstream_listed",
-                    upstream = &*id,
-                    service = &*entry.service,
-                    version = &*entry.version,
-                    cold_ms = entry.cold_remaining.as_millis() as u64,
-                );
+                if is_logged {
+                    tracing::info!(
+                        event = "upstream_listed",
+                        upstream = &*id,
+                        service = &*entry.service,
+                        version = &*entry.version,
+                        cold_ms = entry.cold_remaining.as_millis() as u64,
+                    );
+                }
                 let upstream = Rc::new(upstream::Upstream::new(Rc::clone(&id), entry, now));
                 self.upstreams.borrow_mut().insert(id, upstream);
             }
             (Some(known), None) => {
-                tracing::info!(event = "upstream_unlisted", upstream = &*id);
+                if is_logged && known.removed_at().is_none() {
+                    tracing::info!(event = "upstream_unlisted", upstream = &*id);
+                }
                 known.mark_removed(now);
             }
             (None, None) => {}
         }
-        self.changed.notify();
     }
 
     /// Returns whether an entry, or its removal, changes what this host knows of an upstream.
@@ -153,14 +172,23 @@
     pub fn replace(&self, entries: Vec<(Rc<str>, Option<upstream::Entry>)>, now: Instant) {
         let listed: IndexSet<Rc<str>> =
             entries.iter().filter(|(_, e)| e.is_some()).map(|(id, _)| Rc::clone(id)).collect();
-        for (id, entry) in entries {
-            self.apply(id, entry, now);
-        }
-        let missing: Vec<Rc<str>> = {
+        let (added, missing) = {
             let upstreams = self.upstreams.borrow();
-            upstreams.keys().filter(|id| !listed.contains(*id)).cloned().collect()
+            let added = listed.iter().filter(|id| !upstreams.contains_key(*id)).count();
+            let present = upstreams.values().filter(|u| u.removed_at().is_none());
+            let missing = present.filter(|u| !listed.contains(&u.id)).map(|u| Rc::clone(&u.id));
+            (added, missing.collect::<Vec<Rc<str>>>())
         };
-        missing.into_iter().for_each(|id| self.apply(id, None, now));
+        let is_logged = added + missing.len() <= MAX_LINES_PER_LIST;
+        if !is_logged {
+            let (listed, missing) = (listed.len(), missing.len());
+            tracing::info!(event = "upstreams_listed", listed, added, missing);
+        }
+        for (id, entry) in entries {
+            self.apply_entry(id, entry, is_logged, now);
+        }
+        missing.into_iter().for_each(|id| self.apply_entry(id, None, is_logged, now));
+        self.changed.notify();
     }
 
     /// Sets whether the store can be read.
