--- a/crates/basilhaven/src/gateway/cluster.rs
+++ b/crates/basilhaven/src/gateway/cluster.rs
@@ -65,6 +65,20 @@
 /// The most heartbeats in one datagram, which take 1,700 bytes at most.
 const MAX_HEARTBEATS: usize = 48;
 
+/// Uptime up to which a host is young: it says how many hosts it knows, and is sent the heartbeats
+/// of all hosts by those that know more. All hosts may have been restarted at once, and one datagram
+/// has only half of the heartbeats of a large cluster.
+const YOUNG_TIME: Duration = Duration::from_secs(3);
+
+/// Time without a new host after which a young host takes the hosts that it knows for all. It has
+/// sent at least two heartbeats in that time.
+const SETTLING_TIME: Duration = Duration::from_millis(150);
+
+/// Number of hosts that a young host assumes until then, to determine its share of the common
+/// budgets: more than any deployment has. With the number that it knows, the shares of hosts that
+/// are restarted at once would add up to several times the whole.
+const ASSUMED_COUNT: usize = 160;
+
 /// The record by which a host registers in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -108,6 +122,19 @@
     /// builds ignore.
     #[serde(skip)]
     reach: reach::Reach,
+    /// What the host says of the hosts that it knows; sent after the frame.
+    #[serde(skip)]
+    view: View,
+}
+
+/// What the sender of a datagram says of the hosts that it knows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct View {
+    /// Number of live hosts that the sender knows, including itself; 0 if it has not said so, as
+    /// hosts of earlier builds.
+    hosts: u16,
+    /// Whether the sender has just started, and wants to be sent the heartbeats of more hosts.
+    is_young: bool,
 }
 
 impl Heartbeat {
@@ -121,12 +148,18 @@
         self.reach == reach::Reach::Nothing
     }
 
-    /// Keeps the known reach of the same process if this heartbeat was forwarded by a host of an
-    /// earlier build, which drops the reach.
-    fn keep_reach(&mut self, known: &Heartbeat) {
-        if self.reach == reach::Reach::Unknown && self.incarnation == known.incarnation {
+    /// Keeps what is known of the same process besides if this heartbeat was forwarded: hosts of an
+    /// earlier build drop the reach, and the view is sent only by the host itself.
+    fn keep_known(&mut self, known: &Heartbeat) {
+        if self.incarnation != known.incarnation {
+            return;
+        }
+        if self.reach == reach::Reach::Unknown {
             self.reach = known.reach;
         }
+        if self.view == View::default() {
+            self.view = known.view;
+        }
     }
 
     /// Returns the address for other hosts.
@@ -165,6 +198,8 @@
     own: Cell<Heartbeat>,
     started: Instant,
     peers: RefCell<IndexMap<SocketAddr, Peer>>,
+    /// When a host was last met that was not known.
+    last_met: Cell<Instant>,
     /// Addresses at which other hosts may run.
     seeds: RefCell<IndexSet<SocketAddr>>,
     store_failed_at: Cell<Option<Instant>>,
@@ -210,11 +245,13 @@
             can_read_store: true,
             capacity,
             reach: reach::Reach::All,
+            view: View::default(),
         };
         Members {
             own: Cell::new(own),
             started: now,
             peers: RefCell::default(),
+            last_met: Cell::new(now),
             seeds: RefCell::default(),
             store_failed_at: Cell::default(),
             upstream_slots: Cell::default(),
@@ -337,7 +374,7 @@
             if is_newer {
                 let mut heartbeat = heartbeat;
                 if let Some(known) = peers.get(&heartbeat.peer_addr()) {
-                    heartbeat.keep_reach(&known.heartbeat);
+                    heartbeat.keep_known(&known.heartbeat);
                 }
                 let known =
                     peers.insert(heartbeat.peer_addr(), Peer { heartbeat, received_at: now });
@@ -347,7 +384,10 @@
                     known.heartbeat.state == heartbeat.state
                         && known.heartbeat.reach == heartbeat.reach
                 });
-                has_new |= !is_known;
+                if !is_known {
+                    has_new = true;
+                    self.last_met.set(now);
+                }
                 if !is_known || !has_same_state {
                     self.advertised.borrow_mut().invalidate();
                 }
@@ -356,6 +396,73 @@
         has_new
     }
 
+    /// Merges the heartbeats of a datagram as [`merge`](Members::merge) does, and returns whether
+    /// they include a new host, and the heartbeats to respond with, one item a datagram.
+    ///
+    /// A young host that knows fewer hosts than this one gets the heartbeats of all. So hosts that
+    /// were all restarted at once know each other within a few heartbeats, and the responses end
+    /// once they do. A host that is new, or starting and looking for a host that is ready, gets one
+    /// datagram.
+    pub fn exchange(
+        &self,
+        from: SocketAddr,
+        heartbeats: &[Heartbeat],
+        now: Instant,
+    ) -> (bool, Vec<Vec<Heartbeat>>) {
+        let Some(sender) = heartbeats.first() else { return (false, Vec::new()) };
+        let is_new_sender = {
+            let peers = self.peers.borrow();
+            let known = peers.get(&sender.peer_addr()).map(|peer| peer.heartbeat.incarnation);
+            known != Some(sender.incarnation)
+        };
+        let has_new = self.merge(from, heartbeats, now);
+        let view = sender.view;
+        let is_waiting = sender.state == State::Starting && self.state() == State::Ready;
+        // Hosts of earlier builds do not say what they know.
+        let may_lack = is_new_sender || has_new && view == View::default();
+        let responses = if view.is_young && usize::from(view.hosts) < self.live_count(now) {
+            self.all_heartbeats(now)
+        } else if may_lack || is_waiting {
+            self.all_heartbeats(now).into_iter().take(1).collect()
+        } else {
+            Vec::new()
+        };
+        (has_new, responses)
+    }
+
+    /// Returns the heartbeats of all live hosts, one item a datagram. Each has this host's first,
+    /// so that it counts as received from this host.
+    fn all_heartbeats(&self, now: Instant) -> Vec<Vec<Heartbeat>> {
+        // A response to a response is not wanted.
+        let view = View { is_young: false, ..self.view(now) };
+        let own = Heartbeat { view, ..self.own.get() };
+        let others = self.live(now).split_off(1);
+        match others.is_empty() {
+            true => vec![vec![own]],
+            false => {
+                let parts = others.chunks(MAX_HEARTBEATS - 1);
+                parts.map(|part| std::iter::once(&own).chain(part).copied().collect()).collect()
+            }
+        }
+    }
+
+    /// Returns what this host says of the hosts that it knows.
+    fn view(&self, now: Instant) -> View {
+        let hosts = u16::try_from(self.live_count(now)).unwrap_or(u16::MAX);
+        View { hosts, is_young: self.is_young(now) }
+    }
+
+    /// Returns whether this host has just started and may not know all others yet.
+    pub fn is_young(&self, now: Instant) -> bool {
+        self.uptime(now) < YOUNG_TIME
+    }
+
+    /// Returns whether this host has just started and goes on to meet other hosts.
+    fn is_settling(&self, now: Instant) -> bool {
+        let since_met = now.saturating_duration_since(self.last_met.get());
+        self.has_seeds() && self.is_young(now) && since_met < SETTLING_TIME
+    }
+
     /// Returns the live hosts among `peers`.
     fn live_among<'a>(
         &self,
@@ -435,9 +542,16 @@
     /// The shares of all hosts add up to one if all hosts know the same live hosts.
     pub fn budget_share(&self, now: Instant) -> f64 {
         let all = self.expected_count(now);
-        match self.uptime(now) < advertised::STARTUP_TIME {
-            true => 1.0 / all as f64,
-            false => self.advertised_hosts(now).share(self.own.get().peer_addr(), all),
+        if self.is_settling(now) {
+            return 1.0 / all.max(ASSUMED_COUNT) as f64;
+        }
+        let equal = 1.0 / all as f64;
+        let share = || self.advertised_hosts(now).share(self.own.get().peer_addr(), all);
+        match self.uptime(now) {
+            uptime if uptime < advertised::STARTUP_TIME => equal,
+            // Hosts that started a little later still take an equal share.
+            uptime if uptime < YOUNG_TIME => share().min(equal),
+            _ => share(),
         }
     }
 
@@ -453,10 +567,13 @@
         let recent = peers
             .values()
             .filter(|peer| now.saturating_duration_since(peer.received_at) <= retention);
-        let known = recent.count() + 1;
-        let is_young = now.saturating_duration_since(self.started) < MEMBER_RETENTION;
-        match is_young {
-            true => known.max(self.seeds.borrow().len() + 1),
+        let (mut known, mut known_to_others) = (1, 0);
+        for peer in recent {
+            known += 1;
+            known_to_others = known_to_others.max(usize::from(peer.heartbeat.view.hosts));
+        }
+        match self.uptime(now) < MEMBER_RETENTION {
+            true => known.max(self.seeds.borrow().len() + 1).max(known_to_others),
             false => known,
         }
     }
@@ -521,6 +638,7 @@
         self.own.set(Heartbeat {
             sequence: own.sequence + 1,
             can_read_store: !has_failed_recently,
+            view: self.view(now),
             ..own
         });
         let mut heartbeats = self.live(now);
--- a/crates/basilhaven/src/gateway/cluster/datagram.rs
+++ b/crates/basilhaven/src/gateway/cluster/datagram.rs
@@ -19,6 +19,10 @@
 const INTERVAL_WHILE_ALONE: Duration = Duration::from_millis(20);
 const INTERVAL_WHILE_UNSYNCED: Duration = Duration::from_millis(60);
 
+/// Interval of heartbeats of a host that has just started, until it can be expected to know all
+/// others: all hosts may have been restarted at once.
+const INTERVAL_WHILE_YOUNG: Duration = Duration::from_millis(150);
+
 /// Delay of a heartbeat at which the process counts as having been paused; a busy host delays
 /// heartbeats by less.
 const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
@@ -93,14 +97,7 @@
     loop {
         send_heartbeat(&replica, &socket).await;
         replica.members.remove_expired(Instant::now());
-        let interval = match replica.members.is_large_cluster() {
-            _ if replica.is_unsynced() && replica.members.live_count(Instant::now()) == 1 => {
-                INTERVAL_WHILE_ALONE
-            }
-            _ if replica.is_unsynced() => INTERVAL_WHILE_UNSYNCED,
-            true => HEARTBEAT_INTERVAL_IN_LARGE_CLUSTER,
-            false => HEARTBEAT_INTERVAL,
-        };
+        let interval = interval(&replica.members, replica.is_unsynced(), Instant::now());
         let before = Instant::now();
         monoio::time::sleep(interval).await;
         let delay = before.elapsed().saturating_sub(interval);
@@ -113,6 +110,18 @@
     }
 }
 
+/// Returns the time until a host sends its next heartbeat; `is_unsynced` tells whether its replica
+/// of the store is incomplete.
+pub fn interval(members: &cluster::Members, is_unsynced: bool, now: Instant) -> Duration {
+    match members.is_large_cluster() {
+        _ if is_unsynced && members.live_count(now) == 1 => INTERVAL_WHILE_ALONE,
+        _ if is_unsynced => INTERVAL_WHILE_UNSYNCED,
+        _ if members.has_seeds() && members.is_young(now) => INTERVAL_WHILE_YOUNG,
+        true => HEARTBEAT_INTERVAL_IN_LARGE_CLUSTER,
+        false => HEARTBEAT_INTERVAL,
+    }
+}
+
 /// Sends this host's view to some hosts now.
 pub async fn send_heartbeat(replica: &updates::Replica, socket: &UdpSocket) {
     let (heartbeats, targets) = replica.members.next_heartbeat(Instant::now());
@@ -161,8 +170,8 @@
     }
 }
 
-/// Encodes a frame, followed by the eras of the steps and the reach of the hosts in it: earlier
-/// builds ignore what follows a frame.
+/// Encodes a frame, followed by the eras of the steps, the reach of the hosts in it and the sender's
+/// view: earlier builds ignore what follows a frame.
 ///
 /// # Errors
 ///
@@ -175,6 +184,9 @@
         let reaches: Vec<reach::Reach> = heartbeats.iter().map(|h| h.reach).collect();
         bytes.extend(postcard::to_stdvec(&eras)?);
         bytes.extend(postcard::to_stdvec(&reaches)?);
+        if let Some(own) = heartbeats.first() {
+            bytes.extend(postcard::to_stdvec(&own.view)?);
+        }
     }
     Ok(bytes)
 }
@@ -190,10 +202,13 @@
     if let (Frame::Heartbeats(heartbeats, steps), true) = (&mut frame, has_eras) {
         let (eras, rest) = postcard::take_from_bytes::<Vec<(store::Era, store::Era)>>(rest)?;
         // The build that introduced eras appends nothing else.
-        let reaches: Vec<reach::Reach> = match rest {
-            [] => Vec::new(),
-            rest => postcard::from_bytes(rest)?,
+        let (reaches, rest) = match rest {
+            [] => (Vec::new(), rest),
+            rest => postcard::take_from_bytes::<Vec<reach::Reach>>(rest)?,
         };
+        if let (Some(own), false) = (heartbeats.first_mut(), rest.is_empty()) {
+            own.view = postcard::from_bytes(rest)?;
+        }
         for (heartbeat, reach) in heartbeats.iter_mut().zip(reaches) {
             heartbeat.reach = reach;
         }
@@ -228,16 +243,14 @@
                     }
                     replica.moves.apply_step(step, now);
                 }
-                let is_new_host = replica.members.merge(from, &heartbeats, now);
+                let (is_new_host, responses) = replica.members.exchange(from, &heartbeats, now);
                 if is_new_host {
                     let live = replica.members.live_count(now);
                     tracing::info!(event = "host_met", %from, live);
                 }
-                // A host that is starting needs a host that is ready.
-                let is_starting =
-                    heartbeats.first().is_some_and(|own| own.state == cluster::State::Starting);
-                if is_new_host || is_starting && replica.members.state() == cluster::State::Ready {
-                    reply(&replica, &socket, from).await;
+                for heartbeats in responses {
+                    let frame = Frame::heartbeats(heartbeats, replica.moves.steps(now));
+                    send(&socket, &frame, from).await;
                 }
             }
             Ok((Frame::Evidence(evidence), _)) => {
@@ -247,10 +260,3 @@
         }
     }
 }
-
-/// Sends this host's view to a host that is new or starting, so that it need not wait for a
-/// heartbeat.
-async fn reply(replica: &updates::Replica, socket: &UdpSocket, target: SocketAddr) {
-    let heartbeats = replica.members.live(Instant::now());
-    send(socket, &Frame::heartbeats(heartbeats, replica.moves.steps(Instant::now())), target).await;
-}
--- a/crates/basilhaven/tests/gateway/main.rs
+++ b/crates/basilhaven/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod restore;
 mod selection;
 mod settings;
+mod starts;
 mod updates;
 
 use std::rc::Rc;
