Move the queue of waiting calls from balancer.rs to queue.rs

The decisions on waiting and refusing under load come into the queue, while the search for an upstream stays in the balancer. Both would grow in one file that two parts of the work change at the same time.

The queue, its positions and tickets are moved as they were; the search sets two of the queue's fields, which are now visible to its siblings. No behaviour changes.

--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::gateway::moves::evidence;
-use crate::gateway::{attempt, balancer, forward, frontend, history, notify, route};
+use crate::gateway::{attempt, balancer, forward, frontend, history, notify, queue, route};
 use crate::profile;
 
 /// How soon the caller of a call that was not run may retry: if no upstream had capacity, and if
@@ -198,7 +198,7 @@
     table: &'a route::Table,
     task: &'a Task<'a>,
     service: &'a Rc<str>,
-    queue: &'a balancer::Queue,
+    queue: &'a queue::Queue,
     started: Instant,
 }
 
--- a/crates/basilhaven/src/gateway/mod.rs
+++ b/crates/basilhaven/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 pub mod pause;
 pub mod probe;
 pub mod protocol;
+pub mod queue;
 pub mod reach;
 pub mod registry;
 pub mod relay;
--- /dev/null
+++ b/crates/basilhaven/src/gateway/queue.rs
@@ -0,0 +1,143 @@
+//! The waiting calls of one service, in the order in which they may search for an upstream.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+
+use super::{balancer, limit, notify, retries, route};
+
+/// The window over which retries are counted.
+const RETRY_WINDOW: Duration = Duration::from_secs(10);
+
+/// The waiting calls of one service, with its retry budget and the baseline latency of its routes.
+#[derive(Debug)]
+pub struct Queue {
+    waiting: RefCell<Vec<Position>>,
+    next_ticket: Cell<u64>,
+    /// Notified when a call has ended at an upstream.
+    pub(super) slot_freed: notify::Notifier,
+    /// The calls that the rates of all eligible upstreams admit; `None` if one names no rate.
+    pub(super) supply: Cell<Option<limit::Supply>>,
+    /// When the first of the eligible upstreams wants calls again; `None` if one wants them now.
+    pub(super) paused_until: Cell<Option<Instant>>,
+    /// Budget for attempts beyond the first of each call.
+    pub retries: retries::Budget,
+    /// Mean latency of each route's calls at an upstream of cost 1, in seconds, by route name.
+    baselines: RefCell<IndexMap<Rc<str>, f64>>,
+}
+
+impl Queue {
+    /// Returns the baseline of a route: the expected latency of its calls at an upstream of
+    /// [cost](super::selection::cost) 1.
+    pub fn baseline(&self, route: &route::Route) -> Duration {
+        let known = self.baselines.borrow().get(&route.name).copied();
+        let seconds = known.unwrap_or(route.latency_target.as_secs_f64() * INITIAL_BASELINE_SHARE);
+        Duration::from_secs_f64(seconds)
+    }
+
+    /// Updates a route's baseline with the latency of a call at an upstream of this cost.
+    pub fn record_latency(&self, route: &route::Route, cost: f64, took: Duration) {
+        let initial = route.latency_target.as_secs_f64() * INITIAL_BASELINE_SHARE;
+        let mut baselines = self.baselines.borrow_mut();
+        let mean = baselines.entry(Rc::clone(&route.name)).or_insert(initial);
+        *mean += (took.as_secs_f64() / cost.max(1.0) - *mean) * BASELINE_WEIGHT;
+    }
+}
+
+/// Baseline latency of a route before its first response, as a share of its latency target.
+const INITIAL_BASELINE_SHARE: f64 = 0.3;
+
+/// Weight of one call in the moving average of its route's baseline.
+const BASELINE_WEIGHT: f64 = 0.03;
+
+impl Default for Queue {
+    fn default() -> Queue {
+        Queue {
+            waiting: RefCell::default(),
+            next_ticket: Cell::default(),
+            slot_freed: notify::Notifier::default(),
+            supply: Cell::default(),
+            paused_until: Cell::default(),
+            retries: retries::Budget::new(RETRY_WINDOW),
+            baselines: RefCell::default(),
+        }
+    }
+}
+
+/// Position of a waiting call in the queue.
+#[derive(Debug, Clone, Copy)]
+struct Position {
+    priority: u32,
+    /// Increases in the order in which calls join the queue.
+    number: u64,
+    latest_on_time_start: Instant,
+}
+
+impl Position {
+    /// Returns the sort key of the queue: calls that can still meet their target come first, since
+    /// a late response is worth little and the slot that it takes makes the next call late as well.
+    fn sort_key(&self, now: Instant) -> (bool, u32, u64) {
+        (now > self.latest_on_time_start, self.priority, self.number)
+    }
+}
+
+/// Keeps a waiting call in the queue; removes the call from the queue when dropped.
+pub(super) struct Ticket<'a> {
+    queue: &'a Queue,
+    position: Position,
+}
+
+impl<'a> Ticket<'a> {
+    pub(super) fn new(queue: &'a Queue, requirements: &balancer::Requirements<'_>) -> Ticket<'a> {
+        let number = queue.next_ticket.get();
+        queue.next_ticket.set(number + 1);
+        let latest_on_time_start = requirements.latest_on_time_start();
+        let position = Position { priority: requirements.priority, number, latest_on_time_start };
+        queue.waiting.borrow_mut().push(position);
+        Ticket { queue, position }
+    }
+
+    /// Returns the number of calls that are ahead of this one in the queue.
+    pub(super) fn ahead(&self, now: Instant) -> usize {
+        let own = self.position.sort_key(now);
+        let waiting = self.queue.waiting.borrow();
+        waiting.iter().filter(|position| position.sort_key(now) < own).count()
+    }
+
+    /// Returns an error if no upstream wants calls of this host until `queue_until`.
+    pub(super) fn check_pauses(
+        &self,
+        queue_until: Instant,
+        now: Instant,
+    ) -> Result<(), balancer::Refusal> {
+        match self.queue.paused_until.get() {
+            Some(end) if end > queue_until => {
+                Err(balancer::Refusal::Paused { retry_after: end.saturating_duration_since(now) })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns an error if the rates of the upstreams do not admit this call until `queue_until`.
+    pub(super) fn check_supply(
+        &self,
+        queue_until: Instant,
+        now: Instant,
+    ) -> Result<(), balancer::Refusal> {
+        let Some(supply) = self.queue.supply.get() else { return Ok(()) };
+        let retry_after = supply.wait(self.ahead(now));
+        match retry_after {
+            Some(wait) if now + wait <= queue_until => Ok(()),
+            _ => Err(balancer::Refusal::RateLimited { retry_after }),
+        }
+    }
+}
+
+impl Drop for Ticket<'_> {
+    fn drop(&mut self) {
+        let number = self.position.number;
+        self.queue.waiting.borrow_mut().retain(|position| position.number != number);
+    }
+}
