Reserve free slots for higher priorities, with a floor for each priority

Cause: priorities were ordered within one host only. With some 24 hosts, each with a few waiting calls, an upload at one host took the slot of a lookup at the next.

Change: a timely call searches only while more slots are free than are reserved for higher priorities: 0.03 of them for the second priority of the service, 0.06 for lower ones (trunk reservation by the reports that all hosts see). A priority whose calls are placed less than 0.35 times as often as all goes first and heeds no reserve. Calls held back to their end are logged as reserved.

--- a/crates/basilhaven/src/gateway/balancer.rs
+++ b/crates/basilhaven/src/gateway/balancer.rs
@@ -112,6 +112,9 @@
         /// When the rates admit another call; `None` if this host may not send any.
         retry_after: Option<Duration>,
     },
+    /// The free slots were left to more urgent calls until the call had to start.
+    #[display("reserved")]
+    Reserved,
     /// Neither a timely answer nor idle room is to be expected before the caller's deadline.
     #[display("too-late")]
     TooLate {
@@ -225,8 +228,10 @@
             let now = Instant::now();
             self.observe_room(requirements.service, &queue, now);
             let mut delay = SEARCH_INTERVAL;
-            let may_search = match ticket.decide(requirements, now) {
-                room::Decision::Search => ticket.ahead(now) < MAX_CONCURRENT_SEARCHES,
+            let ahead = ticket.ahead(now);
+            let decision = ticket.decide(requirements, ahead, now);
+            let may_search = match decision {
+                room::Decision::Search => ahead < MAX_CONCURRENT_SEARCHES,
                 room::Decision::Wait(time) => {
                     delay = time;
                     self.refresh_room(requirements.service, service, &queue, now);
@@ -240,7 +245,10 @@
                 let subset_size = SUBSET_SIZE << searches.min(MAX_DOUBLINGS);
                 searches += 1;
                 match self.search(requirements, service, &queue, subset_size).await {
-                    Ok(permit) => return Ok(permit),
+                    Ok(permit) => {
+                        ticket.mark_placed();
+                        return Ok(permit);
+                    }
                     Err(Refusal::NoCapacity) if searches % SEARCHES_PER_REACH_CHECK == 1 => {
                         self.check_reach(requirements, Instant::now())?;
                     }
@@ -253,7 +261,10 @@
             ticket.check_pauses(requirements.queue_until, now)?;
             ticket.check_supply(requirements.queue_until, now)?;
             if now >= requirements.queue_until {
-                return Err(Refusal::NoCapacity);
+                return Err(match decision {
+                    room::Decision::Wait(_) => Refusal::Reserved,
+                    _ => Refusal::NoCapacity,
+                });
             }
             let delay = delay.min(requirements.queue_until - now);
             queue.slot_freed.wait_timeout(seen, delay).await;
--- a/crates/basilhaven/src/gateway/queue.rs
+++ b/crates/basilhaven/src/gateway/queue.rs
@@ -106,8 +106,10 @@
 impl Position {
     /// Returns the sort key of the queue: calls that can still meet their target come first, since
     /// a late response is worth little and the slot that it takes makes the next call late as well.
-    fn sort_key(&self, now: Instant) -> (bool, u32, u64) {
-        (now > self.latest_on_time_start, self.priority, self.number)
+    /// The calls of a starved priority come before all others.
+    fn sort_key(&self, room: &room::Service, now: Instant) -> (bool, bool, u32, u64) {
+        let is_starved = room.is_starved(self.priority);
+        (!is_starved, now > self.latest_on_time_start, self.priority, self.number)
     }
 }
 
@@ -115,6 +117,7 @@
 pub(super) struct Ticket<'a> {
     queue: &'a Queue,
     position: Position,
+    is_placed: Cell<bool>,
 }
 
 impl<'a> Ticket<'a> {
@@ -127,27 +130,37 @@
             latest_on_time_start.checked_sub(age).unwrap_or(latest_on_time_start);
         let position = Position { priority: requirements.priority, number, latest_on_time_start };
         queue.waiting.borrow_mut().push(position);
-        Ticket { queue, position }
+        queue.room.record_arrival(requirements.priority, Instant::now());
+        Ticket { queue, position, is_placed: Cell::new(false) }
+    }
+
+    /// Records that the call was placed at an upstream.
+    pub(super) fn mark_placed(&self) {
+        self.is_placed.set(true);
     }
 
     /// Returns the number of calls that are ahead of this one in the queue.
     pub(super) fn ahead(&self, now: Instant) -> usize {
-        let own = self.position.sort_key(now);
+        let room = &self.queue.room;
+        let own = self.position.sort_key(room, now);
         let waiting = self.queue.waiting.borrow();
-        waiting.iter().filter(|position| position.sort_key(now) < own).count()
+        waiting.iter().filter(|position| position.sort_key(room, now) < own).count()
     }
 
-    /// Decides what the call does next, by what is known of the room at the upstreams.
+    /// Decides what the call does next, by what is known of the room at the upstreams, with `ahead`
+    /// calls ahead of it.
     pub(super) fn decide(
         &self,
         requirements: &balancer::Requirements<'_>,
+        ahead: usize,
         now: Instant,
     ) -> room::Decision {
         let call = room::Call {
+            priority: self.position.priority,
             latest_on_time_start: self.position.latest_on_time_start,
             queue_until: requirements.queue_until,
             deadline: requirements.deadline,
-            ahead: self.ahead(now),
+            ahead,
             is_age_known: requirements.age.is_some(),
         };
         self.queue.room.decide(&call, now)
@@ -184,7 +197,8 @@
 
 impl Drop for Ticket<'_> {
     fn drop(&mut self) {
-        let number = self.position.number;
+        let Position { number, priority, .. } = self.position;
+        self.queue.room.record_departure(priority, self.is_placed.get(), Instant::now());
         self.queue.waiting.borrow_mut().retain(|position| position.number != number);
     }
 }
--- a/crates/basilhaven/src/gateway/room.rs
+++ b/crates/basilhaven/src/gateway/room.rs
@@ -7,6 +7,7 @@
 //! upstreams report.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
@@ -39,6 +40,21 @@
 /// Time constant of the rates at which calls end.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
+/// Reserves of timely calls by rank: the free share up to which they are held back for the more
+/// urgent calls of all hosts. The highest priority among the recent calls of a service has rank 0.
+const RANK_RESERVES: [f64; 3] = [0.0, 0.03, 0.06];
+
+/// How long a priority is counted among those of a service after a call, and the time constant of
+/// the counts of its calls.
+const KIND_WINDOW: Duration = Duration::from_secs(5);
+
+/// The least share of a priority's calls that is placed, as a part of the share of all calls. A
+/// quarter is required; the rest allows for chance, as a host sees only a few calls.
+const MIN_PLACED_PART: f64 = 0.35;
+
+/// Calls of a priority within the window from which its share is computed.
+const MIN_KIND_CALLS: f64 = 3.0;
+
 /// Calls that must have ended within the window for their rate to be known.
 const MIN_ENDED: f64 = 3.0;
 
@@ -65,6 +81,8 @@
     /// The latest time at which the call can start and still meet its latency target, counted from
     /// the caller's first attempt as far as that is known.
     pub latest_on_time_start: Instant,
+    /// Priority of the call; 0 is the highest.
+    pub priority: u32,
     /// When the call stops waiting, because an attempt that starts later could not be answered
     /// before the deadline.
     pub queue_until: Instant,
@@ -92,16 +110,21 @@
 }
 
 /// Counts events with exponential decay.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Decayed {
+    time_constant: Duration,
     state: Cell<Option<(f64, Instant)>>,
 }
 
 impl Decayed {
+    fn new(time_constant: Duration) -> Decayed {
+        Decayed { time_constant, state: Cell::default() }
+    }
+
     fn value(&self, now: Instant) -> f64 {
         let Some((count, at)) = self.state.get() else { return 0.0 };
         let elapsed = now.saturating_duration_since(at).as_secs_f64();
-        count * (-elapsed / RATE_WINDOW.as_secs_f64()).exp()
+        count * (-elapsed / self.time_constant.as_secs_f64()).exp()
     }
 
     fn increment(&self, now: Instant) {
@@ -109,6 +132,22 @@
     }
 }
 
+/// The recent calls of one priority on this host.
+#[derive(Debug)]
+struct Kind {
+    arrived_at: Instant,
+    placed: Decayed,
+    /// Calls that have left the queue without an upstream.
+    unplaced: Decayed,
+}
+
+impl Kind {
+    fn new(now: Instant) -> Kind {
+        let counter = || Decayed::new(KIND_WINDOW);
+        Kind { arrived_at: now, placed: counter(), unplaced: counter() }
+    }
+}
+
 /// Number of distinct remaining times that are counted for a route.
 const DEADLINES_COUNTED: usize = 8;
 
@@ -193,6 +232,7 @@
 /// let full = room::Report { slots: 3, occupancy: 3, age: Duration::ZERO };
 /// let late = room::Call {
 ///     latest_on_time_start: now - Duration::from_millis(1),
+///     priority: 0,
 ///     queue_until: now + Duration::from_millis(700),
 ///     deadline: now + Duration::from_millis(800),
 ///     ahead: 0,
@@ -202,13 +242,29 @@
 /// service.observe([full; 4], 10, now);
 /// assert!(matches!(service.decide(&late, now), room::Decision::Wait(_)));
 /// ```
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Service {
     observation: Cell<Option<Observation>>,
     /// Since when there has been no idle room; `None` if there is some or nothing is known.
     scarce_since: Cell<Option<Instant>>,
     /// Calls of this host that have ended.
     ended: Decayed,
+    /// The recent calls by priority.
+    kinds: RefCell<BTreeMap<u32, Kind>>,
+    /// The starved priorities as of the last observation.
+    starved: RefCell<Vec<u32>>,
+}
+
+impl Default for Service {
+    fn default() -> Service {
+        Service {
+            observation: Cell::default(),
+            scarce_since: Cell::default(),
+            ended: Decayed::new(RATE_WINDOW),
+            kinds: RefCell::default(),
+            starved: RefCell::default(),
+        }
+    }
 }
 
 impl Service {
@@ -242,6 +298,7 @@
         let is_known = slots > 0.0 && count >= MIN_REPORTS.min(upstream_count);
         let free_share = is_known.then(|| free / slots);
         self.observation.set(Some(Observation { free_share, newest_report_age, at: now }));
+        *self.starved.borrow_mut() = self.starved_priorities(now);
         let is_scarce = free_share.is_some_and(|share| share <= LATE_RESERVE);
         let since = self.scarce_since.get().unwrap_or(now);
         self.scarce_since.set(is_scarce.then_some(since));
@@ -252,6 +309,50 @@
         self.ended.increment(now);
     }
 
+    /// Records that a call of this priority has begun to wait.
+    pub fn record_arrival(&self, priority: u32, now: Instant) {
+        let mut kinds = self.kinds.borrow_mut();
+        kinds.retain(|_, kind| now.saturating_duration_since(kind.arrived_at) < KIND_WINDOW);
+        kinds.entry(priority).or_insert_with(|| Kind::new(now)).arrived_at = now;
+    }
+
+    /// Records whether a call of this priority that has waited was placed at an upstream.
+    pub fn record_departure(&self, priority: u32, is_placed: bool, now: Instant) {
+        if let Some(kind) = self.kinds.borrow().get(&priority) {
+            if is_placed { &kind.placed } else { &kind.unplaced }.increment(now);
+        }
+    }
+
+    /// Returns whether the calls of a priority are placed so much less often than all calls that
+    /// they go before the others.
+    pub fn is_starved(&self, priority: u32) -> bool {
+        self.starved.borrow().contains(&priority)
+    }
+
+    /// Returns the priorities whose calls are placed too seldom.
+    fn starved_priorities(&self, now: Instant) -> Vec<u32> {
+        let kinds = self.kinds.borrow();
+        let counts: Vec<(u32, f64, f64)> = kinds
+            .iter()
+            .map(|(&priority, kind)| (priority, kind.placed.value(now), kind.unplaced.value(now)))
+            .collect();
+        let all_placed: f64 = counts.iter().map(|(_, placed, _)| placed).sum();
+        let all: f64 = counts.iter().map(|(_, placed, unplaced)| placed + unplaced).sum();
+        let is_starved = |&&(_, placed, unplaced): &&(u32, f64, f64)| {
+            let own = placed + unplaced;
+            own >= MIN_KIND_CALLS && placed / own < MIN_PLACED_PART * all_placed / all
+        };
+        counts.iter().filter(is_starved).map(|&(priority, ..)| priority).collect()
+    }
+
+    /// Returns the free share up to which timely calls of a priority are held back.
+    fn reserve(&self, priority: u32, now: Instant) -> f64 {
+        let is_recent = |kind: &Kind| now.saturating_duration_since(kind.arrived_at) < KIND_WINDOW;
+        let kinds = self.kinds.borrow();
+        let rank = kinds.range(..priority).filter(|(_, kind)| is_recent(kind)).count();
+        RANK_RESERVES[rank.min(RANK_RESERVES.len() - 1)]
+    }
+
     /// Returns the share of the slots that are free, as recent load reports show it; `None` without
     /// enough recent reports.
     pub fn free_share(&self, now: Instant) -> Option<f64> {
@@ -282,7 +383,9 @@
 
     /// Decides what a waiting call does next.
     ///
-    /// A call that can still be in time searches as soon as its turn comes. One that cannot takes a
+    /// A call that can still be in time searches in its turn while more slots are free than are
+    /// reserved for higher priorities; one of a starved priority always does. One that cannot be in
+    /// time takes a
     /// slot only while room is idle: a late response is worth little, and the slot would make a
     /// timely call of another host late. It is refused once there has been no idle room for as long
     /// as it could still wait, since none is to be expected before its deadline then. Where callers
@@ -290,9 +393,14 @@
     /// slots of calls that can still be in time.
     pub fn decide(&self, call: &Call, now: Instant) -> Decision {
         let Some(scarcity) = self.scarcity(now) else { return Decision::Search };
+        if self.is_starved(call.priority) {
+            return Decision::Search;
+        }
         let backlog = self.backlog(call.ahead, now).unwrap_or_default();
         if now + backlog <= call.latest_on_time_start {
-            return Decision::Search;
+            let is_held =
+                self.free_share(now).is_some_and(|free| free <= self.reserve(call.priority, now));
+            return if is_held { Decision::Wait(HOLD_INTERVAL) } else { Decision::Search };
         }
         let left = call.queue_until.saturating_duration_since(now);
         if !call.is_age_known || scarcity < left.max(MIN_SCARCITY) {
