Check API keys of organisations, and name the organisation to upstreams

Cause: a customer has organisations with API keys. The configuration lists them (`Tenants`) and marks routes as `Public`; nothing read either, so every caller was served and upstreams got the caller's own header fields.

Change: `access::Directory` holds the keys of a configuration as digests and decides on a call once its route is known, before its body is read, and again if another version has come into force while the body arrived. A refusal is 401; if the body was not read, the connection is closed after it. The key and a caller's own organisation field are removed before the first attempt, and the name of the organisation is added when a call is encoded for an upstream or another host. An organisation's priority precedes the route's. Hosts append the directory to updates that carry a configuration. A host believes that a key was checked only on connections of builds that let no caller claim it. The replies 503 without a configuration and 404 are now also sent before the body is read, and a call passed to a host that no longer has its route ends with 404, not 502.

--- a/crates/basilhaven/src/gateway/attempt.rs
+++ b/crates/basilhaven/src/gateway/attempt.rs
@@ -41,9 +41,21 @@
     pub idempotency: profile::Idempotency,
     /// The earlier of the caller's deadline and the end of the route's timeout.
     pub deadline: Instant,
+    /// The organisation of the caller, if it is known.
+    pub organisation: Option<Rc<str>>,
+    /// The priority of the organisation if it has one, or else of the route; 0 is the highest.
+    pub priority: u32,
 }
 
 impl Call {
+    /// Adds the header field that names the organisation.
+    pub(super) fn write_organisation(&self, names: &protocol::Headers, headers: &mut HeaderMap) {
+        let name = self.organisation.as_ref().map(|name| HeaderValue::from_bytes(name.as_bytes()));
+        if let Some(Ok(name)) = name {
+            headers.insert(names.organisation.clone(), name);
+        }
+    }
+
     /// Returns the request id for log lines; empty if there is none.
     pub fn id_text(&self) -> &str {
         self.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default()
@@ -316,6 +328,7 @@
     if let Ok(id) = HeaderValue::from_str(&upstream.id) {
         headers.insert(names.expected_upstream.clone(), id);
     }
+    call.write_organisation(names, &mut headers);
     encode_request(call, &headers)
 }
 
--- a/crates/basilhaven/src/gateway/config.rs
+++ b/crates/basilhaven/src/gateway/config.rs
@@ -2,11 +2,12 @@
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Ordering;
+use std::mem;
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
 
-use super::{notify, route, store};
+use super::{access, notify, route, store};
 
 /// When a configuration was written, as far as a host knows. Sightings of a later era are greater.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -44,6 +45,21 @@
         self.table.borrow().is_some() && self.has_upstream_list.get()
     }
 
+    /// Returns whether the configuration in force came from a host of an earlier build, which does
+    /// not relay organisations.
+    pub fn lacks_organisations(&self) -> bool {
+        self.table.borrow().as_ref().is_some_and(|table| !table.directory.is_known())
+    }
+
+    /// Returns whether this host has organisations and would lose them by applying a configuration
+    /// from a host of an earlier build.
+    pub fn would_lose_organisations(&self, table: &route::Table) -> bool {
+        let in_force = self.table.borrow();
+        let has_organisations =
+            |known: &Rc<route::Table>| known.directory.is_on() && known.version != table.version;
+        !table.directory.is_known() && in_force.as_ref().is_some_and(has_organisations)
+    }
+
     /// Returns when the configuration in force was written.
     pub fn sighting(&self) -> Sighting {
         self.sighting.get()
@@ -54,9 +70,14 @@
     /// Within an era, the higher version is the newer. A configuration that was written in a later
     /// era is newer whatever its version; one that may stem from the store's copy is not.
     pub fn apply(&self, table: Rc<route::Table>, sighting: Sighting) {
-        let known = self.table.borrow().as_ref().map(|known| known.version);
+        let in_force = self.table();
+        let known = in_force.as_ref().map(|known| known.version);
         if known == Some(table.version) {
             self.sighting.set(self.sighting.get().max(sighting));
+            // A host of an earlier build has relayed the version without its organisations.
+            if self.lacks_organisations() && table.directory.is_known() {
+                self.put_in_force(table, in_force);
+            }
             return;
         }
         if known.is_some_and(|known| !self.is_newer(table.version, sighting, known)) {
@@ -69,20 +90,39 @@
             );
             return;
         }
+        self.sighting.set(sighting);
+        self.put_in_force(table, in_force);
+    }
+
+    fn put_in_force(&self, table: Rc<route::Table>, replaced: Option<Rc<route::Table>>) {
         let routes: usize = table.hosts.values().map(Vec::len).sum();
         tracing::info!(
             event = "config_applied",
             version = table.version,
-            replaced = known,
+            replaced = replaced.as_ref().map(|replaced| replaced.version),
             routes,
-            era = %sighting.era,
+            organisations = table.directory.organisations(),
+            era = %self.sighting.get().era,
         );
         for finding in table.skipped.iter() {
             metrics::counter!("basilhaven_config_entries_skipped_total").increment(1);
             tracing::warn!(event = "config_entry_skipped", version = table.version, %finding);
         }
+        let state = mem::discriminant(&table.directory);
+        let has_changed = |table: &route::Table| mem::discriminant(&table.directory) != state;
+        if replaced.as_deref().is_none_or(has_changed) {
+            let version = table.version;
+            match table.directory {
+                access::Directory::Off => {
+                    tracing::info!(event = "feature_off", feature = "organisations", version);
+                }
+                access::Directory::Unknown => {
+                    tracing::info!(event = "organisations_unknown", version);
+                }
+                access::Directory::On(_) => {}
+            }
+        }
         *self.table.borrow_mut() = Some(table);
-        self.sighting.set(sighting);
         self.changed.notify();
     }
 
--- a/crates/basilhaven/src/gateway/forward.rs
+++ b/crates/basilhaven/src/gateway/forward.rs
@@ -42,7 +42,11 @@
 /// On responses: the id of the upstream, if it has said that it is leaving.
 const LEAVING: HeaderName = HeaderName::from_static("basilhaven-leaving");
 
-const FIELDS: [HeaderName; 5] = [SERVICE, VERSION, ATTEMPTS, ELAPSED_MS, TRIED];
+/// On requests: present if the sender has checked the caller's key. Believed only on connections of
+/// builds that remove it from callers' requests; see [`relay::encode_calls`].
+const CHECKED: HeaderName = HeaderName::from_static("basilhaven-key-checked");
+
+const FIELDS: [HeaderName; 6] = [SERVICE, VERSION, ATTEMPTS, ELAPSED_MS, TRIED, CHECKED];
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -78,6 +82,7 @@
 ///     attempts: 2,
 ///     elapsed: Duration::from_millis(30),
 ///     sends,
+///     is_key_checked: false,
 /// };
 /// let mut headers = http::HeaderMap::new();
 /// terms.write(&mut headers);
@@ -96,6 +101,9 @@
     pub elapsed: Duration,
     /// The upstreams that the call was sent to.
     pub sends: history::Sends,
+    /// Whether the sender has checked the caller's key. The header field that upstreams get then
+    /// names the organisation, if there is one.
+    pub is_key_checked: bool,
 }
 
 /// Why the terms of a call are invalid.
@@ -116,6 +124,10 @@
         headers.insert(ATTEMPTS, HeaderValue::from(self.attempts));
         headers.insert(ELAPSED_MS, HeaderValue::from(self.elapsed.as_millis() as u64));
         write_sends(&self.sends, headers);
+        match self.is_key_checked {
+            true => headers.insert(CHECKED, HeaderValue::from_static("1")),
+            false => headers.remove(CHECKED),
+        };
     }
 
     /// Returns whether the call was sent to an upstream before.
@@ -142,6 +154,7 @@
             attempts: u32::try_from(attempts).map_err(|_| Error { field: ATTEMPTS })?,
             elapsed: Duration::from_millis(number(ELAPSED_MS)?),
             sends: read_sends(headers),
+            is_key_checked: headers.contains_key(CHECKED),
         })
     }
 }
@@ -361,6 +374,7 @@
         let mut headers = call.parts.headers.clone();
         let deadline = HeaderValue::from(remaining.as_millis() as u64);
         headers.insert(self.protocol.headers.deadline_ms.clone(), deadline);
+        call.write_organisation(&self.protocol.headers, &mut headers);
         terms.write(&mut headers);
         conn.write(attempt::encode_request(call, &headers)).await?;
         let mut response = conn.read_response(&call.parts.method, attempt::MAX_HEAD_LEN).await?;
--- a/crates/basilhaven/src/gateway/frontend.rs
+++ b/crates/basilhaven/src/gateway/frontend.rs
@@ -9,7 +9,9 @@
 use http::header::{self, HeaderMap, HeaderValue};
 use monoio::net::{TcpListener, TcpStream};
 
-use super::{attempt, balancer, cluster, config, forward, notify, protocol, retries, route};
+use super::{
+    access, attempt, balancer, cluster, config, forward, notify, protocol, relay, retries, route,
+};
 use crate::http1::{self, body, head};
 use crate::profile;
 
@@ -83,7 +85,7 @@
     /// A caller.
     Caller,
     /// Another host, which [passes on](forward) calls of its callers.
-    Host,
+    Host(relay::Sender),
 }
 
 /// Accepts callers' connections and serves each in its own task.
@@ -100,8 +102,8 @@
 }
 
 /// Serves the calls that another host passes on, in a task of its own.
-pub fn serve_host(frontend: &Rc<Frontend>, stream: TcpStream) {
-    spawn_connection(frontend, stream, Source::Host);
+pub fn serve_host(frontend: &Rc<Frontend>, stream: TcpStream, sender: relay::Sender) {
+    spawn_connection(frontend, stream, Source::Host(sender));
 }
 
 fn spawn_connection(frontend: &Rc<Frontend>, stream: TcpStream, source: Source) {
@@ -203,6 +205,23 @@
             Persistence::Close
         }
     };
+    // A caller whose request body has not been read cannot send another request.
+    let unread = || match body::Reader::new(request.framing).is_done() {
+        true => persistence(),
+        false => Persistence::Close,
+    };
+    let Some(table) = frontend.config.table() else {
+        tracing::info!(event = "not_configured");
+        return deliver(conn, attempts::Reply::refused(), unread(), source).await;
+    };
+    let terms = match take_terms(&mut request.parts.headers, &table, source) {
+        Ok(terms) => terms,
+        Err(rejection) => return deliver(conn, rejection.reply(), unread(), source).await,
+    };
+    let admission = match admit(frontend, &request, table, terms.as_ref()) {
+        Ok(admission) => admission,
+        Err(rejection) => return deliver(conn, rejection.reply(), unread(), source).await,
+    };
     let body = match read_body(conn, &request, limits).await {
         Ok(Some(body)) => body,
         Ok(None) => {
@@ -218,32 +237,27 @@
         }
         Err(error) => return reject(conn, &error).await,
     };
-    let Some(table) = frontend.config.table() else {
-        tracing::info!(event = "not_configured");
-        return deliver(conn, attempts::Reply::refused(), persistence(), source).await;
-    };
-    let terms = match source {
-        Source::Caller => None,
-        Source::Host => match take_terms(&mut request, &table) {
-            Some(terms) => Some(terms),
-            None => return deliver(conn, attempts::Reply::refused(), persistence(), source).await,
-        },
-    };
-    let host = head::host(&request.parts).unwrap_or_default();
-    let Some(route) = table.find(host, request.parts.uri.path()).cloned() else {
-        tracing::info!(event = "no_route", host, version = table.version);
-        return send_response(
-            conn,
-            http::StatusCode::NOT_FOUND,
-            &HeaderMap::new(),
-            Bytes::new(),
-            persistence(),
-        )
-        .await;
+    // The route or the key may have been removed while the body arrived.
+    let admission = match frontend.config.table() {
+        Some(newer) if !Rc::ptr_eq(&newer, &admission.table) => {
+            match admit(frontend, &request, newer, terms.as_ref()) {
+                Ok(admission) => admission,
+                Err(rejection) => {
+                    return deliver(conn, rejection.reply(), persistence(), source).await
+                }
+            }
+        }
+        _ => admission,
     };
-    let call = build_call(frontend, request, body, &route, started);
+    let call = build_call(frontend, request, body, &admission, started);
+    let Admission { table, route, .. } = admission;
     if frontend.exit_at.get().is_some_and(|end| call.deadline + RESPONSE_MARGIN > end) {
-        tracing::info!(event = "stopping_too_soon", id = call.id_text(), route = &*route.name);
+        tracing::info!(
+            event = "stopping_too_soon",
+            id = call.id_text(),
+            organisation = call.organisation.as_deref(),
+            route = &*route.name
+        );
         return deliver(conn, attempts::Reply::refused(), Persistence::Close, source).await;
     }
     let task = attempts::Task { route: &route, call: &call, terms };
@@ -260,7 +274,12 @@
                 if call.idempotency == profile::Idempotency::AtMostOnce {
                     run.await;
                 }
-                tracing::info!(event = "caller_left", id = call.id_text(), route = &*route.name);
+                tracing::info!(
+                    event = "caller_left",
+                    id = call.id_text(),
+                    organisation = call.organisation.as_deref(),
+                    route = &*route.name
+                );
                 return Ok(Persistence::Abort);
             }
         }
@@ -270,20 +289,101 @@
     deliver(conn, reply, persistence(), source).await
 }
 
-/// Takes the terms of a call that another host passes on from its request; `None` if this host must
-/// not place the call, because it has an older configuration.
-fn take_terms(request: &mut head::Request, table: &route::Table) -> Option<forward::Terms> {
-    let terms = forward::Terms::try_from(&request.parts.headers);
-    forward::remove_terms(&mut request.parts.headers);
+/// Takes the terms of a call that another host passes on from its request; a caller's request has
+/// none. Returns an error if this host must not place the call, because it has an older
+/// configuration.
+fn take_terms(
+    headers: &mut HeaderMap,
+    table: &route::Table,
+    source: Source,
+) -> Result<Option<forward::Terms>, Rejection> {
+    let Source::Host(sender) = source else { return Ok(None) };
+    let terms = forward::Terms::try_from(&*headers);
+    forward::remove_terms(headers);
     match terms {
-        Ok(terms) if terms.version <= table.version => Some(terms),
+        Ok(mut terms) if terms.version <= table.version => {
+            terms.is_key_checked &= sender == relay::Sender::KnowsOrganisations;
+            Ok(Some(terms))
+        }
         Ok(terms) => {
             tracing::info!(event = "configuration_behind", version = table.version, terms.version);
-            None
+            Err(Rejection::NotRun)
         }
         Err(error) => {
             tracing::warn!(event = "terms_unreadable", %error);
-            None
+            Err(Rejection::NotRun)
+        }
+    }
+}
+
+/// Why a request is not served, before an upstream is looked for.
+#[derive(Debug, Clone, Copy)]
+enum Rejection {
+    /// Another host may serve it.
+    NotRun,
+    /// No host with this configuration serves it.
+    Status(http::StatusCode),
+}
+
+impl Rejection {
+    fn reply(self) -> attempts::Reply {
+        match self {
+            Rejection::NotRun => attempts::Reply::refused(),
+            Rejection::Status(status) => attempts::Reply::rejected(status),
+        }
+    }
+}
+
+/// A request that has a route and may be served.
+struct Admission {
+    /// The configuration by which it was decided.
+    table: Rc<route::Table>,
+    route: Rc<route::Route>,
+    organisation: Option<access::Organisation>,
+    /// Whether the header fields of keys and organisations have a meaning, and are removed.
+    is_key_checked: bool,
+}
+
+/// Finds the route of a request and checks its key, unless the host that passes it on has done that.
+/// Returns an error if the request is not served.
+fn admit(
+    frontend: &Frontend,
+    request: &head::Request,
+    table: Rc<route::Table>,
+    terms: Option<&forward::Terms>,
+) -> Result<Admission, Rejection> {
+    let (parts, names) = (&request.parts, &frontend.protocol.headers);
+    let host = head::host(parts).unwrap_or_default();
+    let Some(route) = table.find(host, parts.uri.path()).cloned() else {
+        tracing::info!(event = "no_route", host, version = table.version);
+        return Err(Rejection::Status(http::StatusCode::NOT_FOUND));
+    };
+    if terms.is_some_and(|terms| terms.is_key_checked) {
+        let name = parts.headers.get(&names.organisation);
+        let name = name.and_then(|name| std::str::from_utf8(name.as_bytes()).ok());
+        let organisation = name.map(|name| access::Organisation {
+            name: name.into(),
+            priority: table.directory.priority_of(name),
+        });
+        return Ok(Admission { table, route, organisation, is_key_checked: true });
+    }
+    let key = access::presented_key(&parts.headers, &names.key);
+    match table.directory.check(&route, key) {
+        access::Decision::Allowed(organisation) => {
+            let is_key_checked = table.directory.is_on();
+            Ok(Admission { table, route, organisation, is_key_checked })
+        }
+        access::Decision::Denied => {
+            metrics::counter!("basilhaven_keys_refused_total").increment(1);
+            let id = parts.headers.get(&names.request_id).and_then(|id| id.to_str().ok());
+            tracing::info!(
+                event = "key_refused",
+                id,
+                route = &*route.name,
+                version = table.version,
+                has_key = parts.headers.contains_key(&names.key),
+            );
+            Err(Rejection::Status(http::StatusCode::UNAUTHORIZED))
         }
     }
 }
@@ -322,18 +422,31 @@
     frontend: &Frontend,
     request: head::Request,
     body: Bytes,
-    route: &route::Route,
+    admission: &Admission,
     started: Instant,
 ) -> attempt::Call {
+    let (route, organisation) = (&admission.route, admission.organisation.as_ref());
     let names = &frontend.protocol.headers;
     let mut parts = request.parts;
     head::remove_hop_by_hop(&mut parts.headers);
     parts.headers.remove(header::EXPECT);
+    if admission.is_key_checked {
+        parts.headers.remove(&names.key);
+        parts.headers.remove(&names.organisation);
+    }
     let timeout = parts.headers.get(&names.deadline_ms).and_then(|v| v.to_str().ok()?.parse().ok());
     let timeout = timeout.map_or(route.timeout, Duration::from_millis);
     let id = parts.headers.get(&names.request_id).cloned();
     let deadline = started + timeout.min(route.timeout);
-    attempt::Call { parts, body, id, idempotency: route.idempotency, deadline }
+    attempt::Call {
+        parts,
+        body,
+        id,
+        idempotency: route.idempotency,
+        deadline,
+        organisation: organisation.map(|organisation| Rc::clone(&organisation.name)),
+        priority: organisation.and_then(|known| known.priority).unwrap_or(route.priority),
+    }
 }
 
 /// Logs and counts a call that ends without an upstream's response.
@@ -353,6 +466,7 @@
     tracing::info!(
         event = "not_answered",
         id = call.id_text(),
+        organisation = call.organisation.as_deref(),
         route = &*route.name,
         status = status.as_u16(),
         total_ms = started.elapsed().as_millis() as u64,
@@ -382,7 +496,7 @@
             (response.status, response.headers, response.body, response.remainder)
         }
     };
-    if source == Source::Host {
+    if let Source::Host(_) = source {
         ending.write(&mut headers);
         if let Some(upstream) = leaving {
             forward::write_leaving(&mut headers, &upstream);
--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -53,6 +53,17 @@
         Reply::NotRun { retry_after: RETRY_AFTER, attempts: 0, sends: history::Sends::default() }
     }
 
+    /// The reply to a request that is not called at an upstream for this reason.
+    pub(super) fn rejected(status: http::StatusCode) -> Reply {
+        Reply::Response(attempt::Response {
+            status,
+            headers: http::HeaderMap::new(),
+            body: bytes::Bytes::new(),
+            remainder: None,
+            leaving: None,
+        })
+    }
+
     /// Returns how this reply tells another host that the call has ended.
     pub(super) fn ending(&self) -> forward::Ending {
         match self {
@@ -157,7 +168,7 @@
             task.terms.is_none() && progress.hosts < MAX_HOSTS && !progress.sends.has_unknown();
         let requirements = balancer::Requirements {
             service: name,
-            priority: route.priority,
+            priority: call.priority,
             tried_upstreams: progress.sends.upstreams(),
             queue_until: call.deadline.checked_sub(min_time).unwrap_or(call.deadline),
             deadline: call.deadline,
@@ -271,6 +282,7 @@
                 0 => history::Sends::default(),
                 _ => progress.sends.clone(),
             },
+            is_key_checked: self.table.directory.is_on(),
         };
         progress.hosts += 1;
         let sent_at = Instant::now();
@@ -355,6 +367,7 @@
     tracing::info!(
         event = "not_placed",
         id = call.id_text(),
+        organisation = call.organisation.as_deref(),
         route = &*route.name,
         service,
         reason = %refusal,
@@ -380,6 +393,7 @@
     tracing::info!(
         event = "passed_on",
         id = call.id_text(),
+        organisation = call.organisation.as_deref(),
         route = &*route.name,
         service,
         %host,
@@ -405,6 +419,7 @@
     tracing::info!(
         event = "sent",
         id = call.id_text(),
+        organisation = call.organisation.as_deref(),
         route = &*route.name,
         version = table.version,
         upstream = &*permit.upstream.id,
--- a/crates/basilhaven/src/gateway/mod.rs
+++ b/crates/basilhaven/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! upstreams arrive as [`updates`] from a [`store`], whose formats the embedding program
 //! translates.
 
+pub mod access;
 pub mod attempt;
 pub mod balancer;
 pub mod cluster;
--- a/crates/basilhaven/src/gateway/protocol.rs
+++ b/crates/basilhaven/src/gateway/protocol.rs
@@ -28,6 +28,10 @@
     pub cold_ms: HeaderName,
     /// On responses of upstreams: marks that the upstream is leaving. Not sent to callers.
     pub leaving: HeaderName,
+    /// On requests of callers: the key of the caller's organisation. Not sent to upstreams.
+    pub key: HeaderName,
+    /// On requests to upstreams: the name of the caller's organisation, which only hosts set.
+    pub organisation: HeaderName,
 }
 
 /// The load that an upstream reports.
--- a/crates/basilhaven/src/gateway/relay.rs
+++ b/crates/basilhaven/src/gateway/relay.rs
@@ -17,7 +17,7 @@
 use monoio::net::{TcpListener, TcpStream};
 use serde::{Deserialize, Serialize};
 
-use super::{config, store, updates};
+use super::{access, config, route, store, updates};
 
 /// Maximum time between two staleness messages to a follower.
 const STALENESS_INTERVAL: Duration = Duration::from_millis(400);
@@ -42,6 +42,9 @@
 /// The feeds of the store that hosts relay to each other.
 pub const FEEDS: [store::Feed; 2] = [store::Feed::Orders, store::Feed::Upstreams];
 
+/// The position of the feed `Orders` in [`FEEDS`].
+const ORDERS: usize = 0;
+
 /// A message between a host and its follower.
 #[derive(Debug, Serialize, Deserialize)]
 enum Message {
@@ -103,10 +106,62 @@
     }
 }
 
+/// What follows the eras of an update and of [`Message::Calls`]: builds without organisations ignore
+/// it. On a connection that carries calls, it says that the sender believes no caller that claims
+/// that its key was checked.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct Organisations {
+    /// The parts that the configurations among the items of the message lack, in order.
+    configs: Vec<access::Appendix>,
+}
+
+impl Organisations {
+    fn of_items(items: &[store::Change]) -> Organisations {
+        let tables = items.iter().filter_map(|item| match item {
+            store::Change::Config(table) => Some(access::Appendix::of(table)),
+            _ => None,
+        });
+        Organisations { configs: tables.collect() }
+    }
+
+    /// Completes the configurations among the items of an update.
+    fn complete(self, items: &mut [store::Change]) {
+        let tables = items.iter_mut().filter_map(|item| match item {
+            store::Change::Config(table) => Some(table),
+            _ => None,
+        });
+        for (table, appendix) in tables.zip(self.configs) {
+            appendix.complete(Rc::make_mut(table));
+        }
+    }
+}
+
+/// What is appended to a message.
+#[derive(Debug, Default)]
+struct Appended {
+    eras: Option<Eras>,
+    organisations: Option<Organisations>,
+}
+
+impl From<Eras> for Appended {
+    fn from(eras: Eras) -> Appended {
+        Appended { eras: Some(eras), organisations: None }
+    }
+}
+
+/// The build of a host that passes on calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sender {
+    /// It knows organisations, and says of each call whether it has checked the key.
+    KnowsOrganisations,
+    /// It passes on header fields as callers have sent them.
+    Earlier,
+}
+
 /// Serves the hosts that follow this one, and hands connections that carry calls to `serve_calls`.
 pub async fn serve<F>(replica: Rc<updates::Replica>, listener: TcpListener, serve_calls: F)
 where
-    F: Fn(TcpStream) + 'static,
+    F: Fn(TcpStream, Sender) + 'static,
 {
     let serve_calls = Rc::new(serve_calls);
     loop {
@@ -133,13 +188,19 @@
     serve_calls: &F,
 ) -> io::Result<()>
 where
-    F: Fn(TcpStream),
+    F: Fn(TcpStream, Sender),
 {
     stream.set_nodelay(true)?;
     match with_timeout(IO_TIMEOUT, read(&mut stream)).await? {
-        (Message::Known(known), eras) => stream_updates(replica, stream, known, eras).await,
-        (Message::Calls, _) => {
-            serve_calls(stream);
+        (Message::Known(known), appended) => {
+            stream_updates(replica, stream, known, appended.eras).await
+        }
+        (Message::Calls, appended) => {
+            let sender = match appended.organisations {
+                Some(_) => Sender::KnowsOrganisations,
+                None => Sender::Earlier,
+            };
+            serve_calls(stream, sender);
             Ok(())
         }
         (Message::Update { .. } | Message::Staleness(_), _) => Err(io::Error::other(
@@ -160,19 +221,25 @@
         known.era =
             eras.as_ref().map_or(own, |eras| eras.revisions.get(number).map_or(own, |e| *e));
     }
+    // Whether this host has learned the organisations only after it has sent the configuration.
+    let mut lacks_organisations = false;
     loop {
         let seen = replica.change_counts();
+        if lacks_organisations && !replica.config.lacks_organisations() {
+            known[ORDERS].number = 0;
+        }
+        lacks_organisations = replica.config.lacks_organisations();
         for (feed, known) in FEEDS.into_iter().zip(&mut known) {
-            if let Some((message, eras)) = update_since(replica, feed, known) {
-                with_timeout(IO_TIMEOUT, write(&mut stream, &message, Some(&eras))).await?;
+            if let Some((message, appended)) = update_since(replica, feed, known) {
+                with_timeout(IO_TIMEOUT, write(&mut stream, &message, &appended)).await?;
             }
         }
         let now = Instant::now();
         let staleness =
             |feed| replica.journal(feed).staleness(now).as_millis().min(u32::MAX.into()) as u32;
         let message = Message::Staleness(FEEDS.map(staleness));
-        let bounded = Eras::of_known(&[]);
-        with_timeout(IO_TIMEOUT, write(&mut stream, &message, Some(&bounded))).await?;
+        let bounded = Appended::from(Eras::of_known(&[]));
+        with_timeout(IO_TIMEOUT, write(&mut stream, &message, &bounded)).await?;
         replica.wait_for_change(seen, STALENESS_INTERVAL).await;
     }
 }
@@ -182,7 +249,7 @@
     replica: &updates::Replica,
     feed: store::Feed,
     known: &mut store::Revision,
-) -> Option<(Message, Eras)> {
+) -> Option<(Message, Appended)> {
     let journal = replica.journal(feed);
     let revision = journal.revision();
     if revision <= *known {
@@ -199,8 +266,11 @@
         Some(batches) => batches.iter().flat_map(|batch| batch.items.iter().cloned()).collect(),
         None => replica.snapshot(feed),
     };
-    let eras = Eras::of_update(revision, &items, config);
-    Some((Message::Update { feed, is_snapshot, revision, items }, eras))
+    let appended = Appended {
+        eras: Some(Eras::of_update(revision, &items, config)),
+        organisations: Some(Organisations::of_items(&items)),
+    };
+    Some((Message::Update { feed, is_snapshot, revision, items }, appended))
 }
 
 /// Follows another host until `should_stop` returns true.
@@ -218,12 +288,17 @@
 {
     let mut stream = with_timeout(CONNECT_TIMEOUT, TcpStream::connect_addr(origin)).await?;
     stream.set_nodelay(true)?;
-    let known = FEEDS.map(|feed| replica.journal(feed).revision());
-    let eras = Eras::of_known(&known);
-    with_timeout(IO_TIMEOUT, write(&mut stream, &Message::Known(known), Some(&eras))).await?;
+    let mut known = FEEDS.map(|feed| replica.journal(feed).revision());
+    if replica.config.lacks_organisations() {
+        // The configuration is requested again with all other orders.
+        known[ORDERS].number = 0;
+    }
+    let eras = Appended::from(Eras::of_known(&known));
+    with_timeout(IO_TIMEOUT, write(&mut stream, &Message::Known(known), &eras)).await?;
     tracing::info!(event = "following", provider = %origin);
     loop {
-        let (message, eras) = with_timeout(IO_TIMEOUT, read(&mut stream)).await?;
+        let (message, Appended { eras, organisations }) =
+            with_timeout(IO_TIMEOUT, read(&mut stream)).await?;
         match message {
             Message::Update { feed, is_snapshot, mut revision, mut items } => {
                 let now = Instant::now();
@@ -236,6 +311,16 @@
                     replica.record_host_without_eras(origin, now);
                     return Err(io::Error::other("the followed host knows no eras of the store"));
                 }
+                organisations.unwrap_or_default().complete(&mut items);
+                let would_lose =
+                    |table: &route::Table| replica.config.would_lose_organisations(table);
+                if items
+                    .iter()
+                    .any(|item| matches!(item, store::Change::Config(table) if would_lose(table)))
+                {
+                    replica.record_host_without_eras(origin, now);
+                    return Err(io::Error::other("the followed host relays no organisations"));
+                }
                 let update = updates::Update { feed, is_snapshot, revision, items, sighting };
                 replica.apply_relayed(update, now);
             }
@@ -278,31 +363,37 @@
     }
 }
 
-/// Encodes the first message of a connection that carries calls.
+/// Encodes the first message of a connection that carries calls. It says that this build removes
+/// from callers' requests what only hosts may say.
 ///
 /// # Errors
 ///
 /// Returns an error if the message cannot be serialized.
 pub fn encode_calls() -> io::Result<Bytes> {
-    encode(&Message::Calls, None).map(Bytes::from)
+    let appended =
+        Appended { eras: Some(Eras::of_known(&[])), organisations: Some(Organisations::default()) };
+    encode(&Message::Calls, &appended).map(Bytes::from)
 }
 
-async fn write(stream: &mut TcpStream, message: &Message, eras: Option<&Eras>) -> io::Result<()> {
-    stream.write_all(encode(message, eras)?).await.0.map(|_| ())
+async fn write(stream: &mut TcpStream, message: &Message, appended: &Appended) -> io::Result<()> {
+    stream.write_all(encode(message, appended)?).await.0.map(|_| ())
 }
 
-fn encode(message: &Message, eras: Option<&Eras>) -> io::Result<Vec<u8>> {
+fn encode(message: &Message, appended: &Appended) -> io::Result<Vec<u8>> {
     let mut body = postcard::to_stdvec(message).map_err(io::Error::other)?;
-    if let Some(eras) = eras {
+    if let Some(eras) = &appended.eras {
         body.extend(postcard::to_stdvec(eras).map_err(io::Error::other)?);
     }
+    if let Some(organisations) = &appended.organisations {
+        body.extend(postcard::to_stdvec(organisations).map_err(io::Error::other)?);
+    }
     let mut bytes = Vec::with_capacity(body.len() + 4);
     bytes.extend_from_slice(&(body.len() as u32).to_le_bytes());
     bytes.extend_from_slice(&body);
     Ok(bytes)
 }
 
-async fn read<R>(stream: &mut R) -> io::Result<(Message, Option<Eras>)>
+async fn read<R>(stream: &mut R) -> io::Result<(Message, Appended)>
 where
     R: AsyncReadRent,
 {
@@ -315,9 +406,19 @@
     let (result, body) = stream.read_exact(vec![0; len]).await;
     result?;
     let (message, rest) = postcard::take_from_bytes(&body).map_err(io::Error::other)?;
-    let eras = match rest {
-        [] => None,
-        rest => Some(postcard::from_bytes(rest).map_err(io::Error::other)?),
-    };
-    Ok((message, eras))
+    let (eras, rest) = take_appended(rest)?;
+    let (organisations, _) = take_appended(rest)?;
+    Ok((message, Appended { eras, organisations }))
+}
+
+/// Takes a part that is appended to a message from the bytes that follow; `None` at their end.
+fn take_appended<'a, T>(bytes: &'a [u8]) -> io::Result<(Option<T>, &'a [u8])>
+where
+    T: Deserialize<'a>,
+{
+    if bytes.is_empty() {
+        return Ok((None, bytes));
+    }
+    let (part, rest) = postcard::take_from_bytes(bytes).map_err(io::Error::other)?;
+    Ok((Some(part), rest))
 }
--- a/crates/basilhaven/src/gateway/route.rs
+++ b/crates/basilhaven/src/gateway/route.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use super::access;
 use crate::{finding, profile};
 
 /// Step between two choices of a traffic split: multiples of the golden ratio, modulo 1, are spread
@@ -42,6 +43,10 @@
     pub priority: u32,
     /// The services that take the route's calls.
     pub destinations: Vec<Destination>,
+    /// Whether calls need no key. Not serialized, since earlier builds read the serialized form;
+    /// sent in an [`access::Appendix`].
+    #[serde(skip)]
+    pub is_public: bool,
     /// Position of the last choice in the traffic split, from 0 to 1; advances by `SPLIT_STEP`.
     #[serde(skip, default = "random_phase")]
     phase: Cell<f64>,
@@ -65,6 +70,7 @@
             latency_target: Duration::from_secs(1),
             priority: 0,
             destinations: vec![Destination { service: service.into(), weight: 1.0 }],
+            is_public: false,
             phase: random_phase(),
         }
     }
@@ -132,6 +138,10 @@
     pub services: IndexMap<Rc<str>, Rc<Service>>,
     /// Limits on callers.
     pub limits: Limits,
+    /// The organisations and their keys. Not serialized, since earlier builds read the serialized
+    /// form; sent in an [`access::Appendix`].
+    #[serde(skip)]
+    pub directory: access::Directory,
     /// What is wrong with the entries of the configuration that are not in force. Known only to
     /// hosts that read the configuration from the store.
     #[serde(skip)]
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -153,7 +153,7 @@
     monoio::spawn(datagram::gossip(Rc::clone(&replica), Rc::clone(&peer)));
     monoio::spawn(updates::run(Rc::clone(&store), Rc::clone(&replica)));
     let for_hosts = Rc::clone(&frontend);
-    let serve_calls = move |stream| frontend::serve_host(&for_hosts, stream);
+    let serve_calls = move |stream, sender| frontend::serve_host(&for_hosts, stream, sender);
     monoio::spawn(relay::serve(Rc::clone(&replica), sockets.relay, serve_calls));
     monoio::spawn(reach::run(Rc::clone(&replica), services, prober, Rc::clone(&peer)));
     monoio::spawn(register(Rc::clone(&store), record, Rc::clone(&replica)));
--- a/crates/basilhaven/src/gateway/updates.rs
+++ b/crates/basilhaven/src/gateway/updates.rs
@@ -579,7 +579,8 @@
     let journal = replica.journal(feed);
     let mut failing_since = None;
     let mut backoff = MIN_BACKOFF;
-    let mut is_snapshot = journal.is_unread();
+    let lacks_organisations = feed == store::Feed::Orders && replica.config.lacks_organisations();
+    let mut is_snapshot = journal.is_unread() || lacks_organisations;
     loop {
         let requested_at = Instant::now();
         let known = journal.revision();
--- a/crates/basilhaven/tests/gateway/main.rs
+++ b/crates/basilhaven/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway's parts, without a network.
 
+mod access;
 mod advertised;
 mod cluster;
 mod datagram;
