Tests of uncontrolled clients: bodies, chunks and connections beyond a gateway's limits

Cause: clients that nobody controls made a process run out of memory. No test played them against the gateway.

Change: crates/basilhaven-bench/tests/clients.rs starts a gateway with BASILHAVEN_MEMORY_MB=64 and BASILHAVEN_MAX_FDS=400, which the present code ignores, plays one kind of crowd, and checks that the process lives, that its resident memory stays within 64 MB, also together with the bytes that the operating system has received for it and that are unread, that it has at most 200 open descriptors (400 less the 200 that are reserved for files), and that one ordinary request is answered while the crowd's connections are open. The tests run one at a time.

--- /dev/null
+++ b/crates/basilhaven-bench/tests/clients.rs
@@ -0,0 +1,357 @@
+//! Uncontrolled clients: crowds that make a gateway hold as many bytes and connections as it lets
+//! them. The gateway must stay within the memory and the descriptors that its settings name, and
+//! answer an ordinary request afterwards.
+//!
+//! The tests check no times and no share of served requests: a gateway may refuse a crowd, or close
+//! its connections. They run one at a time, since each measures a process under load.
+
+use std::collections::HashSet;
+use std::future::Future;
+use std::io::Write as _;
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Barrier, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use basilhaven_bench::gateway::{config, receive, Host, SERVICE};
+use basilhaven_bench::standin::block_on;
+use basilhaven_bench::standin::users::store::Store;
+use basilhaven_bench::standin::users::upstream::{Behaviour, Upstream};
+
+/// The memory of the gateway, in units of 1,000,000 bytes. The crowds would make it hold about three
+/// times as much; at rest it uses about a sixth.
+const MEMORY_MB: u64 = 64;
+const MEMORY_BYTES: u64 = MEMORY_MB * 1_000_000;
+
+/// The descriptors of the gateway, of which [`RESERVED_FDS`] are not for connections. The crowd of
+/// connections is three times as large as the rest.
+const MAX_FDS: u64 = 400;
+const RESERVED_FDS: u64 = 200;
+const CONNECTIONS: usize = 600;
+
+/// Clients with large bodies, and how many of them send their whole body; the others stop just
+/// short of its end.
+const CLIENTS: usize = 48;
+const COMPLETE_CLIENTS: usize = 6;
+
+/// The longest body that the configuration allows in the tests with crowds.
+const MAX_BODY_LEN: usize = 4 * 1024 * 1024;
+
+/// The longest body that the configuration allows in the test of a single request: the share of the
+/// memory that 64 MiB are of 160 MB.
+const LARGEST_BODY_LEN: usize = 25 * 1024 * 1024;
+
+/// Lengths of the pieces and chunks that clients send.
+const PIECE_LEN: usize = 16 * 1024;
+const LARGE_CHUNK_LEN: usize = 256 * 1024;
+const SMALL_CHUNK_LEN: usize = 16;
+
+/// How long a client that the gateway neither reads from nor closes waits before it gives up.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Limit on each wait of a test.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
+
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Serializes the tests.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// Runs a test while no other one runs.
+fn run_alone<F>(test: F)
+where
+    F: Future<Output = ()>,
+{
+    // A test that failed leaves the lock poisoned, which means nothing to the next one.
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    block_on(test);
+}
+
+/// A gateway with small limits, and an upstream.
+struct Fixture {
+    host: Host,
+    _store: Store,
+    upstream: Upstream,
+    monitor: Monitor,
+}
+
+impl Fixture {
+    async fn start(max_body_len: usize) -> Fixture {
+        let store = Store::start();
+        let mut config: serde_json::Value = serde_json::from_str(&config(1, SERVICE)).unwrap();
+        config["Limits"]["MaxBodyBytes"] = max_body_len.into();
+        store.put("op", "config", &config.to_string());
+        let upstream = Upstream::start("i-0", Behaviour::Serves(Duration::ZERO));
+        store.put("servers", &upstream.id, &upstream.entry(SERVICE, "v1", "ready"));
+        let (memory, fds) = (MEMORY_MB.to_string(), MAX_FDS.to_string());
+        let settings = [("BASILHAVEN_MEMORY_MB", &*memory), ("BASILHAVEN_MAX_FDS", &*fds)];
+        let host = Host::start_with(store.address(), Ipv4Addr::LOCALHOST, 0, "", &settings).await;
+        wait_until("the host is ready", || host.is_ready()).await;
+        let monitor = Monitor::start(&host);
+        Fixture { host, _store: store, upstream, monitor }
+    }
+
+    /// Waits until an ordinary request is answered, and checks what the gateway has used until
+    /// then. `crowd` is the crowd's connections, which stay open.
+    async fn check(self, crowd: Vec<TcpStream>) {
+        let number = AtomicU64::new(0);
+        wait_until("an ordinary request is answered", || {
+            let id = format!("ordinary-{}", number.fetch_add(1, Ordering::Relaxed));
+            self.host.call("GET", "/safe/a", &id).is_ok_and(|response| response.status == 200)
+        })
+        .await;
+        let peak = self.host.process.peak_bytes();
+        let (held, fds) = self.monitor.finish();
+        drop(crowd);
+        println!("peak resident {peak}, peak with unread bytes {held}, peak descriptors {fds}");
+        assert!(peak <= MEMORY_BYTES, "{peak} bytes resident");
+        assert!(held <= MEMORY_BYTES, "{held} bytes resident and unread");
+        assert!(fds <= MAX_FDS - RESERVED_FDS, "{fds} open descriptors");
+    }
+}
+
+async fn wait_until<F>(what: &str, condition: F)
+where
+    F: Fn() -> bool,
+{
+    let until = Instant::now() + WAIT_TIMEOUT;
+    while !condition() {
+        assert!(Instant::now() < until, "not in time: {what}");
+        monoio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Samples what a gateway uses until it is finished.
+struct Monitor {
+    is_finished: Arc<AtomicBool>,
+    sampler: std::thread::JoinHandle<(u64, u64)>,
+}
+
+impl Monitor {
+    fn start(host: &Host) -> Monitor {
+        let (id, port) = (host.process.id(), host.callers.port());
+        let is_finished = Arc::new(AtomicBool::new(false));
+        let is_sampler_finished = Arc::clone(&is_finished);
+        let sampler = std::thread::spawn(move || {
+            let mut peaks = (0, 0);
+            while !is_sampler_finished.load(Ordering::Relaxed) {
+                let held = resident_bytes(id) + unread_bytes(port);
+                let fds = std::fs::read_dir(format!("/proc/{id}/fd")).map_or(0, Iterator::count);
+                peaks = (peaks.0.max(held), peaks.1.max(fds as u64));
+                std::thread::sleep(SAMPLE_INTERVAL);
+            }
+            peaks
+        });
+        Monitor { is_finished, sampler }
+    }
+
+    /// Returns the most resident and unread bytes, and the most open descriptors.
+    fn finish(self) -> (u64, u64) {
+        self.is_finished.store(true, Ordering::Relaxed);
+        self.sampler.join().expect("the sampler does not panic")
+    }
+}
+
+/// Returns the resident memory of a process; 0 if it has ended.
+fn resident_bytes(id: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+    kib.unwrap_or(0) * 1024
+}
+
+/// Returns the bytes that the operating system has received on connections to a local port and that
+/// the process has not read; they count as memory of the process.
+fn unread_bytes(port: u16) -> u64 {
+    const LISTENING: &str = "0A";
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let port = format!(":{port:04X}");
+    let unread = |line: &str| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let is_own = fields.get(1)?.ends_with(&port) && *fields.get(3)? != LISTENING;
+        let (_, unread) = fields.get(4)?.split_once(':')?;
+        u64::from_str_radix(unread, 16).ok().filter(|_| is_own)
+    };
+    table.lines().skip(1).filter_map(unread).sum()
+}
+
+/// Plays a crowd: all clients connect, and then all send their messages at once, each until
+/// everything is sent or its connection has ended. Returns the connections, still open.
+fn play<F>(address: SocketAddr, clients: usize, messages: F) -> Vec<TcpStream>
+where
+    F: Fn(usize) -> Vec<Vec<u8>> + Sync,
+{
+    let connect = |_| {
+        let stream = TcpStream::connect(address).expect("a listening gateway");
+        stream.set_write_timeout(Some(WRITE_TIMEOUT)).expect("a socket option");
+        stream
+    };
+    let streams: Vec<TcpStream> = (0..clients).map(connect).collect();
+    let start = Barrier::new(clients);
+    std::thread::scope(|scope| {
+        for (client, mut stream) in streams.iter().enumerate() {
+            let (start, messages) = (&start, &messages);
+            scope.spawn(move || {
+                let messages = messages(client);
+                start.wait();
+                for message in messages {
+                    // The gateway may refuse the request and close the connection.
+                    if stream.write_all(&message).is_err() {
+                        break;
+                    }
+                }
+            });
+        }
+    });
+    streams
+}
+
+/// Returns the head of a client's request with this field.
+fn head(client: usize, field: &str) -> Vec<u8> {
+    let head = format!(
+        "POST /safe/a HTTP/1.1\r\nHost: shop.example\r\nX-Basilhaven-Request-Id: crowd-{client}\
+         \r\nX-Basilhaven-Deadline-Ms: 2000\r\n{field}\r\n\r\n"
+    );
+    head.into_bytes()
+}
+
+/// Returns how much of a body of `len` bytes a client sends.
+fn sent_len(client: usize, len: usize) -> usize {
+    if client.is_multiple_of(CLIENTS / COMPLETE_CLIENTS) {
+        len
+    } else {
+        len - 1
+    }
+}
+
+/// Returns a body in chunks of `chunk_len` bytes. Clients that stop short leave out the last chunk,
+/// which is empty.
+fn chunked(client: usize, len: usize, chunk_len: usize) -> Vec<u8> {
+    let mut chunk = format!("{chunk_len:x}\r\n").into_bytes();
+    chunk.resize(chunk.len() + chunk_len, b'x');
+    chunk.extend_from_slice(b"\r\n");
+    let mut body = chunk.repeat(len / chunk_len);
+    if sent_len(client, len) == len {
+        body.extend_from_slice(b"0\r\n\r\n");
+    }
+    body
+}
+
+fn in_pieces(head: Vec<u8>, body: &[u8]) -> Vec<Vec<u8>> {
+    std::iter::once(head).chain(body.chunks(PIECE_LEN).map(<[u8]>::to_vec)).collect()
+}
+
+/// Guards against a gateway that holds every legal body for as long as its client likes.
+#[test]
+fn many_legal_bodies_at_once_are_held_within_the_memory() {
+    run_alone(async {
+        let fixture = Fixture::start(MAX_BODY_LEN).await;
+        let crowd = play(fixture.host.callers, CLIENTS, |client| {
+            let mut message = head(client, &format!("Content-Length: {MAX_BODY_LEN}"));
+            message.resize(message.len() + sent_len(client, MAX_BODY_LEN), b'x');
+            vec![message]
+        });
+        fixture.check(crowd).await;
+    });
+}
+
+/// Guards against the same with bodies that grow slowly, so that none is large when it is admitted.
+#[test]
+fn many_legal_bodies_in_pieces_are_held_within_the_memory() {
+    run_alone(async {
+        let fixture = Fixture::start(MAX_BODY_LEN).await;
+        let crowd = play(fixture.host.callers, CLIENTS, |client| {
+            let head = head(client, &format!("Content-Length: {MAX_BODY_LEN}"));
+            in_pieces(head, &vec![b'x'; sent_len(client, MAX_BODY_LEN)])
+        });
+        fixture.check(crowd).await;
+    });
+}
+
+/// Guards against a gateway that trusts announced lengths, which chunked bodies do not have.
+#[test]
+fn many_bodies_in_large_chunks_are_held_within_the_memory() {
+    run_alone(async {
+        let fixture = Fixture::start(MAX_BODY_LEN).await;
+        let crowd = play(fixture.host.callers, CLIENTS, |client| {
+            let head = head(client, "Transfer-Encoding: chunked");
+            in_pieces(head, &chunked(client, MAX_BODY_LEN, LARGE_CHUNK_LEN))
+        });
+        fixture.check(crowd).await;
+    });
+}
+
+/// Guards against a gateway whose use of memory for a chunk is not that of its bytes.
+#[test]
+fn many_bodies_in_very_small_chunks_are_held_within_the_memory() {
+    run_alone(async {
+        let fixture = Fixture::start(MAX_BODY_LEN).await;
+        let crowd = play(fixture.host.callers, CLIENTS, |client| {
+            let head = head(client, "Transfer-Encoding: chunked");
+            in_pieces(head, &chunked(client, MAX_BODY_LEN, SMALL_CHUNK_LEN))
+        });
+        fixture.check(crowd).await;
+    });
+}
+
+/// Guards against a gateway that reads a body which it already knows to be too long. Most clients
+/// stop just below the limit and stay open; the others send twice as much.
+#[test]
+fn announced_bodies_far_over_the_limit_are_not_held() {
+    run_alone(async {
+        let fixture = Fixture::start(MAX_BODY_LEN).await;
+        let crowd = play(fixture.host.callers, CLIENTS, |client| {
+            let head = head(client, &format!("Content-Length: {}", 256 * MAX_BODY_LEN));
+            let is_short = sent_len(client, MAX_BODY_LEN) < MAX_BODY_LEN;
+            let sent = if is_short { MAX_BODY_LEN - 1 } else { 2 * MAX_BODY_LEN };
+            in_pieces(head, &vec![b'x'; sent])
+        });
+        fixture.check(crowd).await;
+    });
+}
+
+/// Guards against a gateway that holds a body without an announced length beyond the limit.
+#[test]
+fn unannounced_bodies_far_over_the_limit_are_not_held() {
+    run_alone(async {
+        let fixture = Fixture::start(MAX_BODY_LEN).await;
+        let crowd = play(fixture.host.callers, CLIENTS, |client| {
+            let head = head(client, "Transfer-Encoding: chunked");
+            in_pieces(head, &chunked(client, 2 * MAX_BODY_LEN, LARGE_CHUNK_LEN))
+        });
+        fixture.check(crowd).await;
+    });
+}
+
+/// Guards against a gateway that accepts connections until it can open no descriptor.
+#[test]
+fn connections_with_unfinished_heads_are_kept_below_the_descriptors() {
+    run_alone(async {
+        let fixture = Fixture::start(MAX_BODY_LEN).await;
+        let crowd = play(fixture.host.callers, CONNECTIONS, |client| {
+            let mut message = head(client, &format!("X-Filler: {}", "x".repeat(15 * 1024)));
+            message.truncate(message.len() - 1);
+            vec![message]
+        });
+        fixture.check(crowd).await;
+    });
+}
+
+/// Guards against bounds that refuse a request inside the limits of the configuration, and against
+/// copies of a body.
+#[test]
+fn a_single_request_with_the_largest_legal_body_is_served() {
+    run_alone(async {
+        let fixture = Fixture::start(LARGEST_BODY_LEN).await;
+        let mut stream = fixture.host.open().expect("a listening gateway");
+        let mut message = head(0, &format!("Content-Length: {LARGEST_BODY_LEN}"));
+        message.resize(message.len() + LARGEST_BODY_LEN, b'x');
+        stream.write_all(&message).expect("a gateway that reads the body");
+        let response = receive(&mut stream).expect("a response");
+        assert_eq!(response.status, 200, "{response:?}");
+        let bodies: HashSet<usize> =
+            fixture.upstream.requests().iter().map(|request| request.body.len()).collect();
+        assert_eq!(bodies, HashSet::from([LARGEST_BODY_LEN]), "lengths of the bodies sent");
+        fixture.check(vec![stream]).await;
+    });
+}
