One budget for the bytes that callers make a gateway hold, and a bound on connections

Cause: read_body held up to MaxBodyBytes for every connection in a buffer that doubles, encode_request copied the body once more for each attempt, and connections were accepted until no descriptor was left.

Change: gateway/memory.rs decides, without a network, who may hold more bytes and connections and who is dropped: what is still being received, the stalled first, then the largest. Callers' read buffers and bodies are counted as they are held. Bodies are collected in blocks (http1::body::Held) that attempts and calls to other hosts send without a copy. An upstream may respond before it has read the body: the rest stays unsent then, and the connection is not reused.

Ruled out: dropping the bytes of a victim at once in place of waiting for its task, since the bytes would have to be shared with the budget; counting announced lengths, which lets a client reserve memory that it never fills.

--- a/crates/basilhaven/src/gateway/attempt.rs
+++ b/crates/basilhaven/src/gateway/attempt.rs
@@ -34,7 +34,7 @@
     /// The head of the caller's request, without hop-by-hop header fields.
     pub parts: http::request::Parts,
     /// The whole request body.
-    pub body: Bytes,
+    pub body: body::Held,
     /// The request id set by the caller.
     pub id: Option<HeaderValue>,
     /// Whether the call may run more than once.
@@ -211,10 +211,12 @@
     protocol: &protocol::Protocol,
     conn: &mut http1::Conn,
 ) -> Result<Received, http1::Error> {
-    conn.write(encode(call, upstream, &protocol.headers)).await?;
+    let mut unsent = encode(call, upstream, &protocol.headers);
+    conn.write(unsent.take_first()).await?;
     let mut mismatched = 0;
     loop {
-        let response = conn.read_response(&call.parts.method, MAX_HEAD_LEN).await?;
+        let response =
+            conn.send_and_read_response(&mut unsent, &call.parts.method, MAX_HEAD_LEN).await?;
         let mut reader = body::Reader::new(response.framing);
         let echoed = response.parts.headers.get(&protocol.headers.request_id);
         let is_own = match (echoed, &call.id) {
@@ -226,7 +228,11 @@
         let body = buffer_body(conn, &mut reader).await?;
         if is_own {
             let has_id = echoed.is_some() || call.id.is_none();
-            return Ok(inspect(response, body, reader, protocol, conn, (has_id, mismatched)));
+            let mut received =
+                inspect(response, body, reader, protocol, conn, (has_id, mismatched));
+            // The rest of the request would be taken for the start of the next one.
+            received.is_reusable &= unsent.is_empty();
+            return Ok(received);
         }
         mismatched += 1;
         let is_last = response.framing == body::Framing::UntilClose || !reader.is_done();
@@ -309,7 +315,7 @@
 }
 
 /// Encodes the request to an upstream.
-fn encode(call: &Call, upstream: &upstream::Upstream, names: &protocol::Headers) -> Bytes {
+fn encode(call: &Call, upstream: &upstream::Upstream, names: &protocol::Headers) -> body::Unsent {
     let remaining = call.deadline.saturating_duration_since(Instant::now());
     let mut headers = call.parts.headers.clone();
     headers.insert(names.deadline_ms.clone(), HeaderValue::from(remaining.as_millis() as u64));
@@ -319,17 +325,9 @@
     encode_request(call, &headers)
 }
 
-/// Encodes the request of a call with these header fields.
-pub(super) fn encode_request(call: &Call, headers: &HeaderMap) -> Bytes {
-    let framing = match call.body.len() as u64 {
-        0 => body::Framing::Empty,
-        len => body::Framing::Length(len),
-    };
+/// Encodes the request of a call with these header fields. Its body is not copied.
+pub(super) fn encode_request(call: &Call, headers: &HeaderMap) -> body::Unsent {
+    let framing = call.body.framing();
     let head = head::encode_request(&call.parts.method, &call.parts.uri, headers, framing);
-    if call.body.is_empty() {
-        return head;
-    }
-    let mut message = BytesMut::from(&head[..]);
-    message.extend_from_slice(&call.body);
-    message.freeze()
+    body::Unsent::new(head, &call.body)
 }
--- a/crates/basilhaven/src/gateway/forward.rs
+++ b/crates/basilhaven/src/gateway/forward.rs
@@ -362,8 +362,10 @@
         let deadline = HeaderValue::from(remaining.as_millis() as u64);
         headers.insert(self.protocol.headers.deadline_ms.clone(), deadline);
         terms.write(&mut headers);
-        conn.write(attempt::encode_request(call, &headers)).await?;
-        let mut response = conn.read_response(&call.parts.method, attempt::MAX_HEAD_LEN).await?;
+        let mut unsent = attempt::encode_request(call, &headers);
+        conn.write(unsent.take_first()).await?;
+        let (method, max_len) = (&call.parts.method, attempt::MAX_HEAD_LEN);
+        let mut response = conn.send_and_read_response(&mut unsent, method, max_len).await?;
         let mut reader = body::Reader::new(response.framing);
         let body = attempt::buffer_body(&mut conn, &mut reader).await?;
         let ending = Ending::take(&mut response.parts.headers);
@@ -371,7 +373,7 @@
         if !reader.is_done() {
             let (framing, deadline) = (response.framing, call.deadline);
             remainder = Some(Box::new(attempt::Remainder { conn, reader, framing, deadline }));
-        } else if response.allows_reuse() && !conn.has_buffered() {
+        } else if response.allows_reuse() && !conn.has_buffered() && unsent.is_empty() {
             peer.put_conn(conn, Instant::now());
         }
         let status = response.parts.status;
--- a/crates/basilhaven/src/gateway/frontend.rs
+++ b/crates/basilhaven/src/gateway/frontend.rs
@@ -1,6 +1,7 @@
 //! Serves callers' connections, each in a task of its own from accept to close.
 
 use std::cell::Cell;
+use std::os::fd::AsRawFd as _;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -9,7 +10,9 @@
 use http::header::{self, HeaderMap, HeaderValue};
 use monoio::net::{TcpListener, TcpStream};
 
-use super::{attempt, balancer, cluster, config, forward, notify, protocol, retries, route};
+use super::{
+    attempt, balancer, cluster, config, forward, memory, notify, protocol, retries, route,
+};
 use crate::http1::{self, body, head};
 use crate::profile;
 
@@ -27,6 +30,14 @@
 /// How long a caller may take to send a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Length up to which a body that is not needed is skipped, so that its connection stays open for
+/// the requests behind it.
+const MAX_SKIPPED_LEN: u64 = 64 * 1024;
+
+/// How long a new connection waits for another one, which was told to close, until it looks for
+/// room again.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// How long a stopping host keeps an idle connection open for a request that is already on its way.
 const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(300);
 
@@ -45,6 +56,8 @@
     pub forwarder: forward::Forwarder,
     /// The hosts of the system, as this host sees them.
     pub members: Rc<cluster::Members>,
+    /// Bounds what is held for callers.
+    pub memory: Rc<memory::Budget>,
     /// Header names and encodings that callers and upstreams use.
     pub protocol: protocol::Protocol,
     /// The retry limit of all hosts together.
@@ -90,7 +103,12 @@
 pub async fn accept(frontend: Rc<Frontend>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => spawn_connection(&frontend, stream, Source::Caller),
+            // The next connection is accepted only once there is room for this one.
+            Ok((stream, _)) => {
+                if let Some(share) = admit(&frontend, &stream).await {
+                    spawn_connection(&frontend, stream, Source::Caller, share);
+                }
+            }
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error);
                 monoio::time::sleep(ACCEPT_BACKOFF).await;
@@ -101,19 +119,58 @@
 
 /// Serves the calls that another host passes on, in a task of its own.
 pub fn serve_host(frontend: &Rc<Frontend>, stream: TcpStream) {
-    spawn_connection(frontend, stream, Source::Host);
+    let frontend = Rc::clone(frontend);
+    monoio::spawn(async move {
+        if let Some(share) = admit(&frontend, &stream).await {
+            spawn_connection(&frontend, stream, Source::Host, share);
+        }
+    });
 }
 
-fn spawn_connection(frontend: &Rc<Frontend>, stream: TcpStream, source: Source) {
+/// Decides whether a connection is served, and waits until there is room for it.
+async fn admit(frontend: &Frontend, stream: &TcpStream) -> Option<memory::Share> {
+    let fd = usize::try_from(stream.as_raw_fd()).unwrap_or_default();
+    loop {
+        let seen = frontend.memory.released.count();
+        match frontend.memory.admit_connection(fd, Instant::now()) {
+            memory::Decision::Granted => {
+                let (purpose, phase) = (memory::Purpose::Connection, memory::Phase::Receiving);
+                return Some(frontend.memory.share(purpose, phase, Instant::now()));
+            }
+            memory::Decision::Wait => {
+                frontend.memory.released.wait_timeout(seen, ROOM_TIMEOUT).await;
+            }
+            memory::Decision::Denied => {
+                metrics::counter!("basilhaven_connections_refused_total").increment(1);
+                tracing::debug!(event = "connection_refused");
+                return None;
+            }
+        }
+    }
+}
+
+fn spawn_connection(
+    frontend: &Rc<Frontend>,
+    stream: TcpStream,
+    source: Source,
+    share: memory::Share,
+) {
     frontend.open_connections.set(frontend.open_connections.get() + 1);
     let frontend = Rc::clone(frontend);
     monoio::spawn(async move {
-        handle_connection(&frontend, stream, source).await;
+        handle_connection(&frontend, stream, source, &share).await;
+        // The connection is closed by now, so that its descriptor is free for others.
+        drop(share);
         frontend.open_connections.set(frontend.open_connections.get() - 1);
     });
 }
 
-async fn handle_connection(frontend: &Frontend, stream: TcpStream, source: Source) {
+async fn handle_connection(
+    frontend: &Frontend,
+    stream: TcpStream,
+    source: Source,
+    share: &memory::Share,
+) {
     let mut conn = match http1::Conn::new(stream) {
         Ok(conn) => conn,
         Err(error) => {
@@ -121,8 +178,12 @@
             return;
         }
     };
-    match serve_requests(frontend, &mut conn, source).await {
-        Ok(Persistence::Reuse | Persistence::Close) => conn.linger(LINGER_TIMEOUT).await,
+    match serve_requests(frontend, &mut conn, source, share).await {
+        Ok(Persistence::Reuse | Persistence::Close) => {
+            share.set_phase(memory::Phase::Receiving);
+            let linger = std::pin::pin!(conn.linger(LINGER_TIMEOUT));
+            future::select(linger, std::pin::pin!(share.dropped())).await;
+        }
         Ok(Persistence::Abort) => conn.reset_on_close(),
         Err(error) => tracing::debug!(event = "connection_lost", %error),
     }
@@ -133,20 +194,30 @@
     frontend: &Frontend,
     conn: &mut http1::Conn,
     source: Source,
+    share: &memory::Share,
 ) -> Result<Persistence, http1::Error> {
     loop {
         let limits = frontend.config.limits();
         conn.release_buffer();
-        if !wait_for_request(frontend, conn, limits.idle_timeout).await {
-            return Ok(Persistence::Close);
-        }
-        let reading = conn.read_request(limits.max_head_len);
-        let request = match monoio::time::timeout(limits.head_timeout, reading).await {
-            Ok(Ok(Some(request))) => request,
-            Ok(Ok(None)) => return Ok(Persistence::Close),
-            Ok(Err(error)) => return reject(conn, &error).await,
-            Err(_) => return Ok(Persistence::Abort),
+        share.release(share.len().saturating_sub(conn.buffer_len()));
+        share.restart(Instant::now());
+        share.set_phase(memory::Phase::Receiving);
+        let received = {
+            let receive = std::pin::pin!(receive_request(frontend, conn, &limits, share));
+            match future::select(receive, std::pin::pin!(share.dropped())).await {
+                Either::Left((received, _)) => received,
+                Either::Right(_) => {
+                    tracing::debug!(event = "connection_dropped");
+                    Received::End(Persistence::Abort)
+                }
+            }
+        };
+        let request = match received {
+            Received::Request(request) => *request,
+            Received::End(persistence) => return Ok(persistence),
+            Received::Invalid(error) => return reject(conn, &error).await,
         };
+        share.set_phase(memory::Phase::Serving);
         frontend.active_calls.set(frontend.active_calls.get() + 1);
         let persistence = serve_request(frontend, conn, request, &limits, source).await;
         frontend.active_calls.set(frontend.active_calls.get() - 1);
@@ -157,6 +228,53 @@
     }
 }
 
+/// What arrives on a connection between two requests.
+enum Received {
+    /// A request's head.
+    Request(Box<head::Request>),
+    /// Nothing that can be answered.
+    End(Persistence),
+    /// An invalid head.
+    Invalid(http1::Error),
+}
+
+/// Waits for the next request, and reads its head.
+async fn receive_request(
+    frontend: &Frontend,
+    conn: &mut http1::Conn,
+    limits: &route::Limits,
+    share: &memory::Share,
+) -> Received {
+    if !wait_for_request(frontend, conn, limits.idle_timeout).await {
+        return Received::End(Persistence::Close);
+    }
+    let reading = read_head(conn, limits.max_head_len, share);
+    match monoio::time::timeout(limits.head_timeout, reading).await {
+        Ok(received) => received.unwrap_or_else(Received::Invalid),
+        Err(_) => Received::End(Persistence::Abort),
+    }
+}
+
+async fn read_head(
+    conn: &mut http1::Conn,
+    max_len: usize,
+    share: &memory::Share,
+) -> Result<Received, http1::Error> {
+    loop {
+        if let Some(request) = conn.take_request(max_len)? {
+            return Ok(Received::Request(Box::new(request)));
+        }
+        if share.resize(conn.next_buffer_len()).await.is_err() {
+            return Ok(Received::End(Persistence::Abort));
+        }
+        let len = conn.read_more_of_head().await?;
+        if len == 0 {
+            return Ok(Received::End(Persistence::Close));
+        }
+        share.record_received(len, Instant::now());
+    }
+}
+
 /// Waits for the first bytes of a request; returns false if the connection is to be closed instead.
 async fn wait_for_request(frontend: &Frontend, conn: &http1::Conn, idle_timeout: Duration) -> bool {
     if conn.has_buffered() {
@@ -203,49 +321,62 @@
             Persistence::Close
         }
     };
-    let body = match read_body(conn, &request, limits).await {
-        Ok(Some(body)) => body,
-        Ok(None) => {
-            let status = http::StatusCode::PAYLOAD_TOO_LARGE;
-            return send_response(
-                conn,
-                status,
-                &HeaderMap::new(),
-                Bytes::new(),
-                Persistence::Close,
-            )
-            .await;
-        }
-        Err(error) => return reject(conn, &error).await,
-    };
+    // Whatever is known without the body is answered before it is read.
+    let unread = Unread::new(&request);
+    if unread.exceeds(limits.max_body_len) {
+        let status = http::StatusCode::PAYLOAD_TOO_LARGE;
+        return unread.respond(conn, status, persistence()).await;
+    }
     let Some(table) = frontend.config.table() else {
         tracing::info!(event = "not_configured");
-        return deliver(conn, attempts::Reply::refused(), persistence(), source).await;
+        return unread.refuse(conn, persistence(), source).await;
     };
     let terms = match source {
         Source::Caller => None,
         Source::Host => match take_terms(&mut request, &table) {
             Some(terms) => Some(terms),
-            None => return deliver(conn, attempts::Reply::refused(), persistence(), source).await,
+            None => return unread.refuse(conn, persistence(), source).await,
         },
     };
     let host = head::host(&request.parts).unwrap_or_default();
     let Some(route) = table.find(host, request.parts.uri.path()).cloned() else {
         tracing::info!(event = "no_route", host, version = table.version);
-        return send_response(
-            conn,
-            http::StatusCode::NOT_FOUND,
-            &HeaderMap::new(),
-            Bytes::new(),
-            persistence(),
-        )
-        .await;
+        return unread.respond(conn, http::StatusCode::NOT_FOUND, persistence()).await;
     };
-    let call = build_call(frontend, request, body, &route, started);
-    if frontend.exit_at.get().is_some_and(|end| call.deadline + RESPONSE_MARGIN > end) {
-        tracing::info!(event = "stopping_too_soon", id = call.id_text(), route = &*route.name);
-        return deliver(conn, attempts::Reply::refused(), Persistence::Close, source).await;
+    let deadline = deadline(frontend, &request, &route, started);
+    if frontend.exit_at.get().is_some_and(|end| deadline + RESPONSE_MARGIN > end) {
+        let id = request.parts.headers.get(&frontend.protocol.headers.request_id);
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        tracing::info!(event = "stopping_too_soon", id, route = &*route.name);
+        return unread.refuse(conn, Persistence::Close, source).await;
     }
+    let (purpose, phase) = (memory::Purpose::Body, memory::Phase::Receiving);
+    let share = frontend.memory.share(purpose, phase, started);
+    let body = match read_body(conn, &request, limits, &share).await {
+        Ok(Body::Whole(body)) => body,
+        Ok(Body::TooLarge) => {
+            let status = http::StatusCode::PAYLOAD_TOO_LARGE;
+            let (headers, body) = (HeaderMap::new(), Bytes::new());
+            return send_response(conn, status, &headers, body, Persistence::Close).await;
+        }
+        Ok(Body::NoMemory) => {
+            drop(share);
+            metrics::counter!("basilhaven_bodies_refused_total").increment(1);
+            let id = request.parts.headers.get(&frontend.protocol.headers.request_id);
+            let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+            tracing::info!(
+                event = "body_refused",
+                id,
+                route = &*route.name,
+                held = frontend.memory.held(memory::Purpose::Body),
+                waited_ms = started.elapsed().as_millis() as u64,
+            );
+            return deliver(conn, attempts::Reply::refused(), Persistence::Close, source).await;
+        }
+        Err(error) => return reject(conn, &error).await,
+    };
+    share.set_phase(memory::Phase::Serving);
+    let call = build_call(frontend, request, body, &route, deadline);
     let task = attempts::Task { route: &route, call: &call, terms };
     let caller_left = notify::Notifier::default();
     let reply = {
@@ -288,51 +419,159 @@
     }
 }
 
-/// Reads the request body; returns `None` if it exceeds the configured limit.
+/// A request whose body has not been read.
+struct Unread {
+    framing: body::Framing,
+    /// Whether the caller sends the body only after an interim response.
+    awaits_continue: bool,
+}
+
+impl Unread {
+    fn new(request: &head::Request) -> Unread {
+        Unread { framing: request.framing, awaits_continue: awaits_continue(request) }
+    }
+
+    /// Returns whether the announced body is longer than this.
+    fn exceeds(&self, max_len: usize) -> bool {
+        matches!(self.framing, body::Framing::Length(len) if len > max_len as u64)
+    }
+
+    /// Responds with an empty body.
+    async fn respond(
+        self,
+        conn: &mut http1::Conn,
+        status: http::StatusCode,
+        persistence: Persistence,
+    ) -> Result<Persistence, http1::Error> {
+        let persistence = self.persistence(persistence);
+        send_response(conn, status, &HeaderMap::new(), Bytes::new(), persistence).await?;
+        self.skip(conn, persistence).await
+    }
+
+    /// Responds that the call has not run and will not run.
+    async fn refuse(
+        self,
+        conn: &mut http1::Conn,
+        persistence: Persistence,
+        source: Source,
+    ) -> Result<Persistence, http1::Error> {
+        let persistence = self.persistence(persistence);
+        deliver(conn, attempts::Reply::refused(), persistence, source).await?;
+        self.skip(conn, persistence).await
+    }
+
+    /// Returns what happens to the connection: it can carry another request only if the body is
+    /// short enough to be skipped.
+    fn persistence(&self, persistence: Persistence) -> Persistence {
+        match self.framing {
+            body::Framing::Empty => persistence,
+            body::Framing::Length(len) if len <= MAX_SKIPPED_LEN && !self.awaits_continue => {
+                persistence
+            }
+            _ => Persistence::Close,
+        }
+    }
+
+    /// Skips the body after the response if the connection stays open.
+    async fn skip(
+        self,
+        conn: &mut http1::Conn,
+        persistence: Persistence,
+    ) -> Result<Persistence, http1::Error> {
+        let mut reader = body::Reader::new(self.framing);
+        if persistence != Persistence::Reuse || reader.is_done() {
+            return Ok(persistence);
+        }
+        let skip = async {
+            while reader.next(conn).await?.is_some() {}
+            Ok(persistence)
+        };
+        // A caller that does not send the rest has its response.
+        monoio::time::timeout(BODY_TIMEOUT, skip).await.unwrap_or(Ok(Persistence::Close))
+    }
+}
+
+fn awaits_continue(request: &head::Request) -> bool {
+    let expects = request.parts.headers.get(header::EXPECT);
+    expects.is_some_and(|e| e.as_bytes().eq_ignore_ascii_case(b"100-continue"))
+}
+
+/// A request body, as far as it was read.
+enum Body {
+    Whole(body::Held),
+    /// It exceeds the configured limit.
+    TooLarge,
+    /// There is no memory for it.
+    NoMemory,
+}
+
+/// Reads the request body into memory that `share` counts.
 async fn read_body(
     conn: &mut http1::Conn,
     request: &head::Request,
     limits: &route::Limits,
-) -> Result<Option<Bytes>, http1::Error> {
+    share: &memory::Share,
+) -> Result<Body, http1::Error> {
     let mut reader = body::Reader::new(request.framing);
     if reader.is_done() {
-        return Ok(Some(Bytes::new()));
+        return Ok(Body::Whole(body::Held::default()));
     }
-    let expects = request.parts.headers.get(header::EXPECT);
-    if expects.is_some_and(|e| e.as_bytes().eq_ignore_ascii_case(b"100-continue")) {
+    if awaits_continue(request) {
         conn.write(Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n")).await?;
     }
     let read_all = async {
-        let mut buffer = BytesMut::new();
-        while let Some(piece) = reader.next(conn).await? {
-            if buffer.len() + piece.len() > limits.max_body_len {
-                return Ok(None);
+        let mut collector = body::Collector::default();
+        while let Some(mut piece) = reader.next(conn).await? {
+            if collector.len() + piece.len() > limits.max_body_len {
+                return Ok(Body::TooLarge);
+            }
+            share.record_received(piece.len(), Instant::now());
+            while !piece.is_empty() {
+                if collector.is_full() {
+                    let missing = reader.missing().map(|missing| missing + piece.len() as u64);
+                    let len = collector.next_block_len(missing);
+                    if share.acquire(len).await.is_err() {
+                        return Ok(Body::NoMemory);
+                    }
+                    collector.add_block(len);
+                }
+                collector.fill(&mut piece);
             }
-            buffer.extend_from_slice(&piece);
         }
-        Ok(Some(buffer.freeze()))
+        Ok(Body::Whole(collector.finish()))
     };
-    match monoio::time::timeout(BODY_TIMEOUT, read_all).await {
-        Ok(result) => result,
-        Err(_) => Err(http1::Error::cut_short("body took too long")),
+    let read_all = std::pin::pin!(monoio::time::timeout(BODY_TIMEOUT, read_all));
+    match future::select(read_all, std::pin::pin!(share.dropped())).await {
+        Either::Left((Ok(result), _)) => result,
+        Either::Left((Err(_), _)) => Err(http1::Error::cut_short("body took too long")),
+        Either::Right(_) => Ok(Body::NoMemory),
     }
 }
 
+/// Returns when the call ends: at the caller's deadline, or after the route's timeout.
+fn deadline(
+    frontend: &Frontend,
+    request: &head::Request,
+    route: &route::Route,
+    started: Instant,
+) -> Instant {
+    let timeout = request.parts.headers.get(&frontend.protocol.headers.deadline_ms);
+    let timeout = timeout.and_then(|v| v.to_str().ok()?.parse().ok());
+    let timeout = timeout.map_or(route.timeout, Duration::from_millis);
+    started + timeout.min(route.timeout)
+}
+
 fn build_call(
     frontend: &Frontend,
     request: head::Request,
-    body: Bytes,
+    body: body::Held,
     route: &route::Route,
-    started: Instant,
+    deadline: Instant,
 ) -> attempt::Call {
-    let names = &frontend.protocol.headers;
     let mut parts = request.parts;
     head::remove_hop_by_hop(&mut parts.headers);
     parts.headers.remove(header::EXPECT);
-    let timeout = parts.headers.get(&names.deadline_ms).and_then(|v| v.to_str().ok()?.parse().ok());
-    let timeout = timeout.map_or(route.timeout, Duration::from_millis);
-    let id = parts.headers.get(&names.request_id).cloned();
-    let deadline = started + timeout.min(route.timeout);
+    let id = parts.headers.get(&frontend.protocol.headers.request_id).cloned();
     attempt::Call { parts, body, id, idempotency: route.idempotency, deadline }
 }
 
--- a/crates/basilhaven/src/gateway/mod.rs
+++ b/crates/basilhaven/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod history;
 pub mod journal;
 pub mod limit;
+pub mod memory;
 pub mod moves;
 pub mod notify;
 pub mod pause;
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::AsRawFd as _;
 use std::os::unix::net::UnixStream as StdUnixStream;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -14,14 +15,19 @@
 
 use super::cluster::datagram;
 use super::{
-    balancer, cluster, coordinator, directory, forward, frontend, probe, protocol, reach, registry,
-    relay, retries, settings, store, updates,
+    balancer, cluster, coordinator, directory, forward, frontend, memory, probe, protocol, reach,
+    registry, relay, retries, settings, store, updates,
 };
 use crate::{daemon, finding, log};
 
 /// Length of the queue of connections that are not accepted yet.
 const BACKLOG: i32 = 1024;
 
+/// Bytes that the operating system receives on a connection before they are read, if the memory is
+/// limited. They count as memory of the process, and with the system's default they reach many
+/// megabytes. A 200 Mbit/s host fills its link with this at round trips of 5 ms.
+const RECEIVE_LEN: usize = 128 * 1024;
+
 /// Upper bound on the setting for how long callers may use a directory response.
 const MAX_ENTRY_TTL: Duration = Duration::from_secs(3);
 
@@ -113,6 +119,14 @@
     S: store::Store,
 {
     let sockets = bind(&settings)?;
+    if settings.limits.memory.is_some() {
+        // Accepted connections take the option from the listener.
+        for listener in [&sockets.callers, &sockets.relay] {
+            let option = nix::sys::socket::sockopt::RcvBuf;
+            let set = nix::sys::socket::setsockopt(listener.as_raw_fd(), option, &RECEIVE_LEN);
+            set.expect("a socket option of a listening socket");
+        }
+    }
     let stop = signal_stream(&[signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT]);
     let reload = signal_stream(&[signal_hook::consts::SIGHUP]);
     // With port 0 the operating system has chosen the port.
@@ -139,6 +153,12 @@
     if settings.exposure_share.is_none() {
         tracing::info!(event = "feature_off", feature = "moves", setting = "--exposure-share");
     }
+    if settings.limits.memory.is_none() {
+        tracing::info!(event = "feature_off", feature = "memory", setting = "--memory-mb");
+    }
+    if settings.limits.max_fds.is_none() {
+        tracing::info!(event = "feature_off", feature = "descriptors", setting = "--max-fds");
+    }
     replica.moves.set_exposure(settings.exposure_share);
     replica.set_orders_within(settings.orders_within);
     replica.registry.set_heartbeat_interval(settings.heartbeat);
@@ -193,6 +213,7 @@
         balancer,
         forwarder,
         members: Rc::clone(&replica.members),
+        memory: Rc::new(memory::Budget::new(settings.limits)),
         protocol,
         retries: retries::Allowance { ratio: settings.retry_ratio, slack: settings.retry_slack },
         open_connections: Cell::default(),
@@ -238,7 +259,12 @@
     };
     monoio::spawn(directory::serve(directory, Rc::new(respond_directory)));
     let members = Rc::clone(&frontend.members);
+    let memory = Rc::clone(&frontend.memory);
     let respond_metrics = move |_: &http::request::Parts| {
+        for purpose in memory::Purpose::ALL {
+            metrics::gauge!("basilhaven_held_bytes", "purpose" => purpose.to_string())
+                .set(memory.held(purpose) as f64);
+        }
         metrics::gauge!("basilhaven_live_hosts").set(members.live_count(Instant::now()) as f64);
         metrics::gauge!("basilhaven_homes").set(members.advertised_count(Instant::now()) as f64);
         directory::Response {
--- a/crates/basilhaven/src/gateway/settings.rs
+++ b/crates/basilhaven/src/gateway/settings.rs
@@ -6,11 +6,14 @@
 
 use bpaf::Bpaf;
 
+use super::memory;
 use crate::finding;
 
 /// Units of capacity per core, so that hosts can state their capacity to a twentieth of a core.
 const CAPACITY_PER_CORE: f64 = 20.0;
 
+const BYTES_PER_MB: f64 = 1_000_000.0;
+
 /// Values of optional settings that are absent or empty. A template renders a setting that a
 /// deployment does not have as an empty text.
 const DEFAULT_ENTRY_TTL_S: f64 = 5.0;
@@ -88,6 +91,13 @@
     /// Capacity of this host, in cores
     #[bpaf(long, env("BASILHAVEN_CORES"), argument("N"), fallback(String::new()))]
     pub cores: String,
+    /// Memory of this process, in units of 1,000,000 bytes; without it only the limits of the
+    /// configuration bound what is held for callers
+    #[bpaf(long, env("BASILHAVEN_MEMORY_MB"), argument("N"), fallback(String::new()))]
+    pub memory_mb: String,
+    /// Descriptors of this process; without it connections are not limited
+    #[bpaf(long, env("BASILHAVEN_MAX_FDS"), argument("N"), fallback(String::new()))]
+    pub max_fds: String,
     /// Log level: error, warn, info or debug; every attempt is logged at info
     #[bpaf(long, env("BASILHAVEN_LOG"), argument("LEVEL"), fallback(String::new()))]
     pub log: String,
@@ -135,6 +145,8 @@
     pub heartbeat: Duration,
     /// Capacity of this host relative to other hosts, in twentieths of a core.
     pub capacity: u8,
+    /// Limits on what is held for callers.
+    pub limits: memory::Limits,
     /// Log level.
     pub log: crate::settings::Level,
 }
@@ -190,6 +202,8 @@
         let heartbeat = number("--heartbeat-s", &raw.heartbeat_s, DEFAULT_HEARTBEAT_S);
         let cores = number("--cores", &raw.cores, DEFAULT_CORES);
         let exposure_share = read_number(&mut findings, "--exposure-share", &raw.exposure_share);
+        let memory_mb = read_number(&mut findings, "--memory-mb", &raw.memory_mb);
+        let max_fds = read_number(&mut findings, "--max-fds", &raw.max_fds);
         let log = match raw.log.trim() {
             "" => Some(crate::settings::Level::default()),
             text => findings.ok_or_add("--log", crate::settings::Level::try_from(text)),
@@ -215,6 +229,10 @@
                 probe_rate: probe_rate?,
                 heartbeat: Duration::try_from_secs_f64(heartbeat?).ok()?,
                 capacity: (cores? * CAPACITY_PER_CORE).clamp(1.0, u8::MAX.into()) as u8,
+                limits: memory::Limits {
+                    memory: memory_mb?.map(|mb| (mb * BYTES_PER_MB) as u64),
+                    max_fds: max_fds?.map(|fds| fds as usize),
+                },
                 log: log?,
             })
         })();
--- a/crates/basilhaven/src/http1/body.rs
+++ b/crates/basilhaven/src/http1/body.rs
@@ -1,5 +1,8 @@
 //! Message bodies, read and written in pieces.
 
+use std::collections::VecDeque;
+use std::rc::Rc;
+
 use bytes::{Buf as _, Bytes, BytesMut};
 
 use super::{Conn, Error};
@@ -64,6 +67,15 @@
         self.state == State::Done
     }
 
+    /// Returns how many bytes of the body are still to come; `None` if that is not known.
+    pub fn missing(&self) -> Option<u64> {
+        match self.state {
+            State::Length(left) => Some(left),
+            State::Done => Some(0),
+            _ => None,
+        }
+    }
+
     /// Returns the next piece of the body, or `None` at its end.
     ///
     /// # Errors
@@ -197,6 +209,159 @@
     u64::from_str_radix(digits, 16).map_err(|_| Error::malformed("invalid chunk size"))
 }
 
+/// Lengths of the first and of the longest blocks of a held body.
+const FIRST_BLOCK_LEN: usize = 4 * 1024;
+const MAX_BLOCK_LEN: usize = 256 * 1024;
+
+/// A whole body in memory, in blocks that are shared and not copied.
+///
+/// # Examples
+///
+/// ```
+/// use basilhaven::http1::body;
+///
+/// let mut collector = body::Collector::default();
+/// let mut piece = bytes::Bytes::from_static(b"some bytes");
+/// collector.add_block(collector.next_block_len(Some(10)));
+/// collector.fill(&mut piece);
+/// assert!(piece.is_empty());
+/// assert_eq!(collector.finish().len(), 10);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Held {
+    blocks: Rc<[Bytes]>,
+    len: usize,
+}
+
+impl Held {
+    /// Returns the length of the body in bytes.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns whether there is no body.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Returns how the body is framed in a message.
+    pub fn framing(&self) -> Framing {
+        match self.len as u64 {
+            0 => Framing::Empty,
+            len => Framing::Length(len),
+        }
+    }
+
+    /// Returns the blocks of the body, in order.
+    pub fn blocks(&self) -> &[Bytes] {
+        &self.blocks
+    }
+}
+
+/// Collects the pieces of a body in blocks, which grow with the body, so that no byte is copied
+/// twice and a short body takes little memory.
+#[derive(Debug, Default)]
+pub struct Collector {
+    full: Vec<Bytes>,
+    open: BytesMut,
+    /// What is free in the open block.
+    spare: usize,
+    len: usize,
+}
+
+impl Collector {
+    /// Returns the bytes collected so far.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns whether nothing is collected yet.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Returns whether the open block is full.
+    pub fn is_full(&self) -> bool {
+        self.spare == 0
+    }
+
+    /// Returns the length of the block that is to be added next, if `missing` bytes of the body are
+    /// still to come; `None` if that is not known.
+    pub fn next_block_len(&self, missing: Option<u64>) -> usize {
+        let len = self.len.clamp(FIRST_BLOCK_LEN, MAX_BLOCK_LEN);
+        let missing = missing.map_or(usize::MAX, |len| usize::try_from(len).unwrap_or(usize::MAX));
+        len.min(missing.max(1))
+    }
+
+    /// Adds a block of this length once the open block is full.
+    pub fn add_block(&mut self, len: usize) {
+        let block = std::mem::replace(&mut self.open, BytesMut::with_capacity(len));
+        if !block.is_empty() {
+            self.full.push(block.freeze());
+        }
+        self.spare = len;
+    }
+
+    /// Moves as much of a piece into the open block as fits.
+    pub fn fill(&mut self, piece: &mut Bytes) {
+        let len = piece.len().min(self.spare);
+        self.open.extend_from_slice(&piece[..len]);
+        piece.advance(len);
+        self.spare -= len;
+        self.len += len;
+    }
+
+    /// Returns the collected body.
+    pub fn finish(mut self) -> Held {
+        if !self.open.is_empty() {
+            self.full.push(self.open.freeze());
+        }
+        Held { blocks: self.full.into(), len: self.len }
+    }
+}
+
+/// The part of a message that is still to be written.
+#[derive(Debug, Default)]
+pub struct Unsent {
+    blocks: VecDeque<Bytes>,
+}
+
+/// Length up to which a body is written together with its head, which costs a copy and saves a
+/// packet.
+const MAX_JOINED_LEN: usize = 16 * 1024;
+
+impl Unsent {
+    /// Creates a message from its encoded head and its body. The blocks of a long body are shared.
+    pub fn new(head: Bytes, body: &Held) -> Unsent {
+        if body.is_empty() || body.len() > MAX_JOINED_LEN {
+            let blocks = std::iter::once(head).chain(body.blocks().iter().cloned());
+            return Unsent { blocks: blocks.collect() };
+        }
+        let mut message = BytesMut::with_capacity(head.len() + body.len());
+        message.extend_from_slice(&head);
+        body.blocks().iter().for_each(|block| message.extend_from_slice(block));
+        Unsent { blocks: VecDeque::from([message.freeze()]) }
+    }
+
+    /// Returns whether everything was written.
+    pub fn is_empty(&self) -> bool {
+        self.blocks.is_empty()
+    }
+
+    /// Takes the first block, which holds the head.
+    pub fn take_first(&mut self) -> Bytes {
+        self.blocks.pop_front().unwrap_or_default()
+    }
+
+    pub(super) fn first_mut(&mut self) -> Option<&mut Bytes> {
+        self.blocks.front_mut()
+    }
+
+    pub(super) fn remove_first(&mut self) {
+        self.blocks.pop_front();
+    }
+}
+
 /// Encodes one piece of a body under `framing`. An empty piece is not encoded as a chunk, since an
 /// empty chunk ends the body.
 pub fn encode_piece(framing: Framing, piece: Bytes) -> Bytes {
--- a/crates/basilhaven/src/http1/conn.rs
+++ b/crates/basilhaven/src/http1/conn.rs
@@ -11,7 +11,7 @@
 use monoio::net::TcpStream;
 use nix::sys::socket;
 
-use super::{head, Error};
+use super::{body, head, Error};
 
 /// Maximum number of bytes per read.
 const READ_LEN: usize = 16 * 1024;
@@ -156,6 +156,33 @@
         Ok(true)
     }
 
+    /// Writes what is unsent of a message until the peer sends something. Returns `true` if
+    /// everything was written.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails. It is then unknown how much was written.
+    pub async fn write_unsent_unless_answered(
+        &mut self,
+        unsent: &mut body::Unsent,
+    ) -> io::Result<bool> {
+        while let Some(block) = unsent.first_mut() {
+            if self.has_input() {
+                return Ok(false);
+            }
+            self.send_nonblocking(block)?;
+            if block.is_empty() {
+                unsent.remove_first();
+                yield_now().await;
+            } else {
+                let writable = std::pin::pin!(self.stream.writable(false));
+                let readable = std::pin::pin!(self.stream.readable(false));
+                future::select(writable, readable).await;
+            }
+        }
+        Ok(true)
+    }
+
     /// Passes to the operating system as much of `bytes` as it accepts without blocking.
     fn send_nonblocking(&self, bytes: &mut Bytes) -> io::Result<()> {
         let flags = socket::MsgFlags::MSG_DONTWAIT | socket::MsgFlags::MSG_NOSIGNAL;
@@ -275,6 +302,24 @@
         &mut self,
         method: &http::Method,
         max_len: usize,
+    ) -> Result<head::Response, Error> {
+        self.send_and_read_response(&mut body::Unsent::default(), method, max_len).await
+    }
+
+    /// Writes what is unsent of a request, and reads the head of the final response as
+    /// [`read_response`](Conn::read_response) does.
+    ///
+    /// A peer may respond before it has read the whole request. The rest of the request then stays
+    /// unsent, and the connection can't carry another one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error under the conditions of [`read_response`](Conn::read_response).
+    pub async fn send_and_read_response(
+        &mut self,
+        unsent: &mut body::Unsent,
+        method: &http::Method,
+        max_len: usize,
     ) -> Result<head::Response, Error> {
         let mut interim = 0;
         loop {
@@ -295,12 +340,54 @@
                     _ => return Ok(response),
                 }
             }
+            self.write_unsent_unless_answered(unsent).await?;
             if self.fill().await? == 0 {
                 return Err(Error::cut_short("connection ended before the response head"));
             }
         }
     }
 
+    /// Removes the head of the next request from the read buffer if it is complete.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the head is malformed or larger than `max_len` bytes.
+    pub fn take_request(&mut self, max_len: usize) -> Result<Option<head::Request>, Error> {
+        head::decode_request(&mut self.buffer, max_len)
+    }
+
+    /// Reads more bytes of a head into the read buffer, and returns how many.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails, or ends within the head.
+    pub async fn read_more_of_head(&mut self) -> Result<usize, Error> {
+        match self.fill().await? {
+            0 if !self.buffer.is_empty() => Err(Error::cut_short("request head cut short")),
+            len => Ok(len),
+        }
+    }
+
+    /// Returns the memory that the read buffer takes during the next read.
+    pub fn next_buffer_len(&self) -> usize {
+        self.buffer.capacity().max(self.buffer.len() + READ_LEN)
+    }
+
+    /// Returns the memory that the read buffer takes.
+    pub fn buffer_len(&self) -> usize {
+        self.buffer.capacity()
+    }
+
+    /// Limits the bytes that the operating system receives before they are read.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the socket option cannot be set.
+    pub fn limit_receive_buffer(&self, len: usize) -> io::Result<()> {
+        let result = socket::setsockopt(self.stream.as_raw_fd(), socket::sockopt::RcvBuf, &len);
+        result.map_err(io::Error::from)
+    }
+
     /// Returns `true` if the buffer holds bytes that do not belong to any message read so far.
     pub fn has_buffered(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/basilhaven/tests/gateway/main.rs
+++ b/crates/basilhaven/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod datagram;
 mod limits;
+mod memory;
 mod moves;
 mod partition;
 mod reach;
--- a/crates/basilhaven/tests/gateway/settings.rs
+++ b/crates/basilhaven/tests/gateway/settings.rs
@@ -14,7 +14,7 @@
     ("--store", "127.0.0.1:0"),
 ];
 
-const OPTIONAL: [&str; 12] = [
+const OPTIONAL: [&str; 14] = [
     "--seeds",
     "--first-start",
     "--entry-ttl-s",
@@ -27,6 +27,8 @@
     "--heartbeat-s",
     "--cores",
     "--log",
+    "--memory-mb",
+    "--max-fds",
 ];
 
 fn parse(settings: &[(&str, &str)]) -> Result<settings::Settings, finding::Findings> {
