Bounds for slow readers and for bodies in transit; tests of the order of bodies and refusals

Cause: a response was read no faster than its caller read it, so that an upstream cut it off; what was held for slow readers was not counted; an upstream could get many large bodies at once from one host.

Change: a response is read ahead of its caller while the budget allows, copied out of the read buffers. Responses are counted until they are written, and a caller that does not read loses its response once it has stalled and memory is short. Bodies over 64 KiB in transit to one upstream are bounded by this host's share of the longest legal body, never below one.

Result: tests/gateway/bodies.rs.

--- a/crates/basilhaven-bench/tests/gateway/main.rs
+++ b/crates/basilhaven-bench/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway as real processes, with stand-ins for the users' store, upstreams and
 //! callers.
 
+mod bodies;
 mod fixture;
 mod hosts;
 mod leaving;
--- a/crates/basilhaven/src/gateway/frontend.rs
+++ b/crates/basilhaven/src/gateway/frontend.rs
@@ -1,6 +1,7 @@
 //! Serves callers' connections, each in a task of its own from accept to close.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::os::fd::AsRawFd as _;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -30,6 +31,13 @@
 /// How long a caller may take to send a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Length up to which a response is written in one piece with its head, which costs a copy and saves
+/// a packet.
+const MAX_JOINED_LEN: usize = 16 * 1024;
+
+/// Memory that a piece of a response takes besides its bytes.
+const PIECE_OVERHEAD: usize = 64;
+
 /// Length up to which a body that is not needed is skipped, so that its connection stays open for
 /// the requests behind it.
 const MAX_SKIPPED_LEN: u64 = 64 * 1024;
@@ -301,7 +309,7 @@
         http1::Category::CutShort | http1::Category::Io => return Ok(Persistence::Abort),
     };
     tracing::info!(event = "request_rejected", status = status.as_u16(), %error);
-    send_response(conn, status, &HeaderMap::new(), Bytes::new(), Persistence::Close).await
+    respond_empty(conn, status, Persistence::Close).await
 }
 
 async fn serve_request(
@@ -329,13 +337,13 @@
     }
     let Some(table) = frontend.config.table() else {
         tracing::info!(event = "not_configured");
-        return unread.refuse(conn, persistence(), source).await;
+        return unread.refuse(frontend, conn, persistence(), source).await;
     };
     let terms = match source {
         Source::Caller => None,
         Source::Host => match take_terms(&mut request, &table) {
             Some(terms) => Some(terms),
-            None => return unread.refuse(conn, persistence(), source).await,
+            None => return unread.refuse(frontend, conn, persistence(), source).await,
         },
     };
     let host = head::host(&request.parts).unwrap_or_default();
@@ -348,7 +356,7 @@
         let id = request.parts.headers.get(&frontend.protocol.headers.request_id);
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
         tracing::info!(event = "stopping_too_soon", id, route = &*route.name);
-        return unread.refuse(conn, Persistence::Close, source).await;
+        return unread.refuse(frontend, conn, Persistence::Close, source).await;
     }
     let (purpose, phase) = (memory::Purpose::Body, memory::Phase::Receiving);
     let share = frontend.memory.share(purpose, phase, started);
@@ -356,8 +364,7 @@
         Ok(Body::Whole(body)) => body,
         Ok(Body::TooLarge) => {
             let status = http::StatusCode::PAYLOAD_TOO_LARGE;
-            let (headers, body) = (HeaderMap::new(), Bytes::new());
-            return send_response(conn, status, &headers, body, Persistence::Close).await;
+            return respond_empty(conn, status, Persistence::Close).await;
         }
         Ok(Body::NoMemory) => {
             drop(share);
@@ -371,7 +378,8 @@
                 held = frontend.memory.held(memory::Purpose::Body),
                 waited_ms = started.elapsed().as_millis() as u64,
             );
-            return deliver(conn, attempts::Reply::refused(), Persistence::Close, source).await;
+            return deliver(frontend, conn, attempts::Reply::refused(), Persistence::Close, source)
+                .await;
         }
         Err(error) => return reject(conn, &error).await,
     };
@@ -398,7 +406,7 @@
     };
     log_unanswered(&call, &route, &reply, started);
     // Computed again: the host may have begun to stop while the call ran.
-    deliver(conn, reply, persistence(), source).await
+    deliver(frontend, conn, reply, persistence(), source).await
 }
 
 /// Takes the terms of a call that another host passes on from its request; `None` if this host must
@@ -444,19 +452,20 @@
         persistence: Persistence,
     ) -> Result<Persistence, http1::Error> {
         let persistence = self.persistence(persistence);
-        send_response(conn, status, &HeaderMap::new(), Bytes::new(), persistence).await?;
+        respond_empty(conn, status, persistence).await?;
         self.skip(conn, persistence).await
     }
 
     /// Responds that the call has not run and will not run.
     async fn refuse(
         self,
+        frontend: &Frontend,
         conn: &mut http1::Conn,
         persistence: Persistence,
         source: Source,
     ) -> Result<Persistence, http1::Error> {
         let persistence = self.persistence(persistence);
-        deliver(conn, attempts::Reply::refused(), persistence, source).await?;
+        deliver(frontend, conn, attempts::Reply::refused(), persistence, source).await?;
         self.skip(conn, persistence).await
     }
 
@@ -599,6 +608,7 @@
 }
 
 async fn deliver(
+    frontend: &Frontend,
     conn: &mut http1::Conn,
     reply: attempts::Reply,
     persistence: Persistence,
@@ -627,78 +637,211 @@
             forward::write_leaving(&mut headers, &upstream);
         }
     }
+    let (purpose, phase) = (memory::Purpose::Response, memory::Phase::Serving);
+    let share = frontend.memory.share(purpose, phase, Instant::now());
+    share.add_held(body.len(), Instant::now());
+    let head = (status, headers);
     match remainder {
-        None => send_response(conn, status, &headers, body, persistence).await,
+        None => send_response(conn, head, body, persistence, &share).await,
         Some(remainder) => {
-            stream_response(conn, (status, headers), body, remainder, persistence).await
+            let max_ahead = frontend.memory.max_response_len();
+            stream_response(conn, head, body, (remainder, max_ahead), persistence, &share).await
         }
     }
 }
 
+/// Sends a response without a body.
+async fn respond_empty(
+    conn: &mut http1::Conn,
+    status: http::StatusCode,
+    persistence: Persistence,
+) -> Result<Persistence, http1::Error> {
+    let keeps_open = persistence == Persistence::Reuse;
+    let encoded =
+        head::encode_response(status, &HeaderMap::new(), body::Framing::Empty, keeps_open);
+    conn.write_within(encoded, WRITE_TIMEOUT).await?;
+    Ok(persistence)
+}
+
 /// Sends a response whose whole body is in memory.
 async fn send_response(
     conn: &mut http1::Conn,
-    status: http::StatusCode,
-    headers: &HeaderMap,
+    (status, headers): (http::StatusCode, HeaderMap),
     content: Bytes,
     persistence: Persistence,
+    share: &memory::Share,
 ) -> Result<Persistence, http1::Error> {
     let framing = match content.len() as u64 {
         0 => body::Framing::Empty,
         len => body::Framing::Length(len),
     };
     let encoded =
-        head::encode_response(status, headers, framing, persistence == Persistence::Reuse);
+        head::encode_response(status, &headers, framing, persistence == Persistence::Reuse);
+    if content.len() > MAX_JOINED_LEN {
+        write(conn, encoded, share).await?;
+        write(conn, content, share).await?;
+        return Ok(persistence);
+    }
     let mut message = BytesMut::with_capacity(encoded.len() + content.len());
     message.extend_from_slice(&encoded);
     message.extend_from_slice(&content);
-    conn.write_within(message.freeze(), WRITE_TIMEOUT).await?;
+    write(conn, message.freeze(), share).await?;
     Ok(persistence)
 }
 
-/// Streams a long response to the caller. If the upstream fails or the deadline passes before its
-/// end, the connection is reset, so that the caller does not take the response for complete.
+/// Writes a part of a response. A caller that reads slowly may lose it if memory is short.
+async fn write(
+    conn: &mut http1::Conn,
+    bytes: Bytes,
+    share: &memory::Share,
+) -> Result<(), http1::Error> {
+    let len = bytes.len();
+    share.set_phase(memory::Phase::Receiving);
+    let result = {
+        let written = std::pin::pin!(conn.write_within(bytes, WRITE_TIMEOUT));
+        match future::select(written, std::pin::pin!(share.dropped())).await {
+            Either::Left((result, _)) => result.map_err(http1::Error::from),
+            Either::Right(_) => Err(http1::Error::cut_short("no memory for an unread response")),
+        }
+    };
+    share.set_phase(memory::Phase::Serving);
+    share.record_received(len, Instant::now());
+    result
+}
+
+/// Streams a long response to the caller, and reads it from the upstream ahead of the caller by up
+/// to `max_ahead` bytes: upstreams cut off a response that stays unread. If the upstream fails or
+/// the deadline passes before its end, the connection is reset, so that the caller does not take
+/// the response for complete.
 async fn stream_response(
     conn: &mut http1::Conn,
     (status, headers): (http::StatusCode, HeaderMap),
     start: Bytes,
-    mut remainder: Box<attempt::Remainder>,
+    (mut remainder, max_ahead): (Box<attempt::Remainder>, Option<usize>),
     persistence: Persistence,
+    share: &memory::Share,
 ) -> Result<Persistence, http1::Error> {
     let framing = match remainder.framing {
         body::Framing::UntilClose => body::Framing::Chunked,
         framing => framing,
     };
-    let encoded =
-        head::encode_response(status, &headers, framing, persistence == Persistence::Reuse);
-    conn.write_within(encoded, WRITE_TIMEOUT).await?;
-    conn.write_within(body::encode_piece(framing, start), WRITE_TIMEOUT).await?;
-    loop {
-        // A timeout fires only when a read has to wait, so the deadline is also checked here: an
-        // upstream may send without a pause.
-        let piece = match Instant::now() < remainder.deadline {
-            true => {
-                attempt::timeout_at(remainder.deadline, remainder.reader.next(&mut remainder.conn))
-                    .await
-                    .ok()
+    if max_ahead.is_some() {
+        // Fails only if the connection has ended, which the next read tells.
+        let _ = remainder.conn.limit_receive_buffer(memory::RECEIVE_LEN);
+    }
+    let pieces = Pieces::new(share, max_ahead.unwrap_or(0));
+    let deliver = async {
+        let encoded =
+            head::encode_response(status, &headers, framing, persistence == Persistence::Reuse);
+        write(conn, encoded, share).await?;
+        let start_len = start.len();
+        write(conn, body::encode_piece(framing, start), share).await?;
+        share.release(start_len);
+        while let Some(piece) = pieces.next().await {
+            write(conn, body::encode_piece(framing, piece), share).await?;
+        }
+        if let Some(error) = pieces.error.take() {
+            tracing::info!(event = "answer_cut_short", error);
+            return Ok(Persistence::Abort);
+        }
+        write(conn, body::encode_end(framing), share).await?;
+        Ok(persistence)
+    };
+    let deliver = std::pin::pin!(deliver);
+    let read = std::pin::pin!(pieces.read(&mut remainder));
+    match future::select(deliver, read).await {
+        Either::Left((result, _)) => result,
+        Either::Right(((), deliver)) => deliver.await,
+    }
+}
+
+/// The pieces of a response that were read from the upstream and not yet written to the caller.
+struct Pieces<'a> {
+    pieces: RefCell<VecDeque<Bytes>>,
+    /// How many bytes may be held before the caller has taken them; one piece always may.
+    max_len: usize,
+    share: &'a memory::Share,
+    is_complete: Cell<bool>,
+    /// Why the response is incomplete, once it is known to be.
+    error: RefCell<Option<String>>,
+    changed: notify::Notifier,
+}
+
+impl<'a> Pieces<'a> {
+    fn new(share: &'a memory::Share, max_len: usize) -> Pieces<'a> {
+        Pieces {
+            pieces: RefCell::default(),
+            max_len,
+            share,
+            is_complete: Cell::default(),
+            error: RefCell::default(),
+            changed: notify::Notifier::default(),
+        }
+    }
+
+    /// Reads the remainder of a response to its end, as far ahead of the caller as memory allows.
+    async fn read(&self, remainder: &mut attempt::Remainder) {
+        loop {
+            // A timeout fires only when a read has to wait, so the deadline is also checked here:
+            // an upstream may send without a pause.
+            let is_in_time = Instant::now() < remainder.deadline;
+            let next = remainder.reader.next(&mut remainder.conn);
+            let piece = match is_in_time {
+                true => attempt::timeout_at(remainder.deadline, next).await.ok(),
+                false => None,
+            };
+            match piece {
+                Some(Ok(Some(piece))) => self.push(piece).await,
+                Some(Ok(None)) => break,
+                Some(Err(error)) => {
+                    self.error.replace(Some(error.to_string()));
+                    break;
+                }
+                None => {
+                    self.error.replace(Some("the deadline has passed".to_owned()));
+                    break;
+                }
             }
-            false => None,
-        };
-        match piece {
-            Some(Ok(Some(piece))) => {
-                conn.write_within(body::encode_piece(framing, piece), WRITE_TIMEOUT).await?;
+        }
+        self.is_complete.set(true);
+        self.changed.notify();
+    }
+
+    /// Adds a piece once there is room for it.
+    async fn push(&self, piece: Bytes) {
+        loop {
+            let seen = self.changed.count();
+            let is_empty = self.pieces.borrow().is_empty();
+            let has_room = self.share.len() + piece.len() <= self.max_len;
+            if is_empty || has_room && self.share.try_grow(PIECE_OVERHEAD + piece.len()) {
+                if is_empty {
+                    self.share.add_held(PIECE_OVERHEAD + piece.len(), Instant::now());
+                }
+                // A slice of the read buffer would keep all of it.
+                let is_held = self.max_len > 0;
+                let piece = if is_held { Bytes::copy_from_slice(&piece) } else { piece };
+                self.pieces.borrow_mut().push_back(piece);
+                self.changed.notify();
+                return;
             }
-            Some(Ok(None)) => break,
-            Some(Err(error)) => {
-                tracing::info!(event = "answer_cut_short", %error);
-                return Ok(Persistence::Abort);
+            self.changed.wait(seen).await;
+        }
+    }
+
+    /// Takes the next piece; `None` at the end.
+    async fn next(&self) -> Option<Bytes> {
+        loop {
+            let seen = self.changed.count();
+            let piece = self.pieces.borrow_mut().pop_front();
+            if let Some(piece) = piece {
+                self.share.release(PIECE_OVERHEAD + piece.len());
+                self.changed.notify();
+                return Some(piece);
             }
-            None => {
-                tracing::info!(event = "answer_cut_short", error = "the deadline has passed");
-                return Ok(Persistence::Abort);
+            if self.is_complete.get() {
+                return None;
             }
+            self.changed.wait(seen).await;
         }
     }
-    conn.write_within(body::encode_end(framing), WRITE_TIMEOUT).await?;
-    Ok(persistence)
 }
--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use crate::gateway::moves::evidence;
-use crate::gateway::{attempt, balancer, forward, frontend, history, notify, route};
+use crate::gateway::{
+    attempt, balancer, forward, frontend, history, memory, notify, route, upstream,
+};
 use crate::profile;
 
 /// How soon the caller of a call that was not run may retry: if no upstream had capacity, and if
@@ -207,9 +209,14 @@
     async fn attempt(&self, permit: balancer::Permit, progress: &mut Progress) -> ControlFlow<()> {
         let (frontend, table) = (self.frontend, self.table);
         let (route, call) = (self.task.route, self.task.call);
+        let entered = self.enter_transit(&permit.upstream).await;
         let sent_at = Instant::now();
-        let outcome =
-            attempt::send(call, &permit.upstream, &frontend.protocol, &progress.sends).await;
+        let outcome = match entered {
+            Ok(_entered) => {
+                attempt::send(call, &permit.upstream, &frontend.protocol, &progress.sends).await
+            }
+            Err(cause) => attempt::Outcome::NotRun(cause),
+        };
         let waited = sent_at.saturating_duration_since(self.started);
         log_attempt(call, route, table, &permit, &outcome, (waited, sent_at.elapsed()));
         record_evidence(frontend, self.service, route, &permit, &outcome, sent_at.elapsed());
@@ -251,6 +258,23 @@
         flow(may_continue)
     }
 
+    /// Waits until the upstream can hold the body of the call.
+    async fn enter_transit<'a>(
+        &self,
+        upstream: &'a upstream::Upstream,
+    ) -> Result<memory::InTransit<'a>, attempt::Cause> {
+        let (frontend, call) = (self.frontend, self.task.call);
+        let max = match frontend.memory.is_bounded() {
+            true => memory::max_transit_len(
+                frontend.config.limits().max_body_len,
+                frontend.members.budget_share(Instant::now()),
+            ),
+            false => usize::MAX,
+        };
+        let entered = upstream.transit.enter(call.body.len(), max);
+        attempt::timeout_at(call.deadline, entered).await.map_err(|_| attempt::Cause::Timeout)
+    }
+
     /// Passes the call to another host.
     async fn pass_on(
         &self,
--- a/crates/basilhaven/src/gateway/memory.rs
+++ b/crates/basilhaven/src/gateway/memory.rs
@@ -31,6 +31,11 @@
 const STALL_TIME: Duration = Duration::from_secs(1);
 const STALL_LEN: usize = 16 * 1024;
 
+/// Bytes that the operating system receives on a connection before they are read, if the memory is
+/// limited. They count as memory of the process, and with the system's default they reach many
+/// megabytes. A 200 Mbit/s host fills its link with this at round trips of 5 ms.
+pub const RECEIVE_LEN: usize = 128 * 1024;
+
 /// Descriptors that are kept for files.
 const RESERVED_FDS: usize = 200;
 
@@ -67,7 +72,7 @@
 /// Whether a holder may be dropped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
-    /// A peer is still sending: no call has begun, and the holder may be dropped.
+    /// A peer is still sending a request, or reads a response slowly. The holder may be dropped.
     Receiving,
     /// The bytes are in use.
     Serving,
@@ -255,32 +260,50 @@
         }
     }
 
+    /// Returns the bytes that may be held in total if a holder of this length grows.
+    fn available(&self, len: usize) -> usize {
+        match self.limit {
+            None => usize::MAX,
+            Some(limit) if len <= SMALL_LEN => limit,
+            Some(limit) => limit - (limit as f64 * RESERVED_SHARE) as usize,
+        }
+    }
+
+    fn total(&self) -> usize {
+        self.held.iter().map(Cell::get).sum()
+    }
+
+    fn has_room(&self, holder: &Holder, more: usize) -> bool {
+        let len = holder.bytes.get().saturating_add(more);
+        self.total().saturating_add(more) <= self.available(len)
+    }
+
+    fn count(&self, holder: &Holder, more: usize) {
+        holder.bytes.set(holder.bytes.get() + more);
+        let own = &self.held[holder.purpose as usize];
+        own.set(own.get() + more);
+    }
+
     /// Decides whether a holder may hold so many bytes more.
     fn grow(&self, holder: &Rc<Holder>, more: usize, now: Instant) -> Decision {
         if holder.is_dropped.get() {
             return Decision::Denied;
         }
-        let len = holder.bytes.get() + more;
-        let available = match self.limit {
-            None => usize::MAX,
-            Some(limit) if len <= SMALL_LEN => limit,
-            Some(limit) => limit - (limit as f64 * RESERVED_SHARE) as usize,
-        };
-        let held: usize = self.held.iter().map(Cell::get).sum();
-        if held.saturating_add(more) <= available {
-            holder.bytes.set(len);
-            let own = &self.held[holder.purpose as usize];
-            own.set(own.get() + more);
+        if self.has_room(holder, more) {
+            self.count(holder, more);
             return Decision::Granted;
         }
+        let len = holder.bytes.get() + more;
+        let available = self.available(len);
         if len > available {
             return Decision::Denied;
         }
+        let held = self.total();
         let holders = self.holders.borrow();
         loop {
             let leaving = holders.iter().filter(|holder| holder.is_dropped.get());
             let leaving: usize = leaving.map(|holder| holder.bytes.get()).sum();
-            if held - leaving + more <= available {
+            if held.saturating_sub(leaving) + more <= available {
                 return Decision::Wait;
             }
             // The one that asks counts with what it asks for.
@@ -318,6 +341,23 @@
         self.budget.grow(&self.holder, more, now)
     }
 
+    /// Counts bytes that are held already. Others are dropped for them, but they stay even if that
+    /// makes too little room: a response that is ready is delivered.
+    pub fn add_held(&self, more: usize, now: Instant) {
+        if self.grow(more, now) != Decision::Granted {
+            self.budget.count(&self.holder, more);
+        }
+    }
+
+    /// Counts bytes if there is room for them without dropping others. Returns whether there is.
+    pub fn try_grow(&self, more: usize) -> bool {
+        let is_free = self.budget.has_room(&self.holder, more);
+        if is_free {
+            self.budget.count(&self.holder, more);
+        }
+        is_free
+    }
+
     /// Waits until the holder may hold so many bytes more.
     ///
     /// # Errors
@@ -410,3 +450,63 @@
         self.budget.released.notify();
     }
 }
+
+/// Bytes that all hosts together may have in transit to one upstream under any configuration. With
+/// less, an ordinary upload of 60 kB would wait for another one at each of some 100 hosts.
+const MIN_TRANSIT_LEN: usize = 16 * 1024 * 1024;
+
+/// Returns how many bytes of request bodies this host may have in transit to one upstream, if all
+/// hosts together may have as much as the longest legal body: an upstream has to be able to hold
+/// that.
+pub fn max_transit_len(max_body_len: usize, budget_share: f64) -> usize {
+    (max_body_len.max(MIN_TRANSIT_LEN) as f64 * budget_share) as usize
+}
+
+/// The request bodies that this host has in transit to one upstream.
+///
+/// Answers load of large bodies for one upstream, which ends if the requests that it holds exceed
+/// its memory.
+#[derive(Debug, Default)]
+pub struct Transit {
+    bytes: Cell<usize>,
+    released: notify::Notifier,
+}
+
+impl Transit {
+    /// Counts a body if there is room for it, which there always is for a single one. Small ones
+    /// are not counted, so that an ordinary call does not wait for a large one.
+    pub fn try_enter(&self, len: usize, max: usize) -> Option<InTransit<'_>> {
+        let len = if len <= SMALL_LEN { 0 } else { len };
+        let bytes = self.bytes.get();
+        let is_free = len == 0 || bytes == 0 || bytes.saturating_add(len) <= max;
+        is_free.then(|| {
+            self.bytes.set(bytes + len);
+            InTransit { transit: self, len }
+        })
+    }
+
+    /// Counts a body once there is room for it.
+    pub async fn enter(&self, len: usize, max: usize) -> InTransit<'_> {
+        loop {
+            let seen = self.released.count();
+            match self.try_enter(len, max) {
+                Some(entered) => return entered,
+                None => self.released.wait(seen).await,
+            }
+        }
+    }
+}
+
+/// A body that is counted as in transit until this is dropped.
+#[derive(Debug)]
+pub struct InTransit<'a> {
+    transit: &'a Transit,
+    len: usize,
+}
+
+impl Drop for InTransit<'_> {
+    fn drop(&mut self) {
+        self.transit.bytes.set(self.transit.bytes.get() - self.len);
+        self.transit.released.notify();
+    }
+}
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -23,11 +23,6 @@
 /// Length of the queue of connections that are not accepted yet.
 const BACKLOG: i32 = 1024;
 
-/// Bytes that the operating system receives on a connection before they are read, if the memory is
-/// limited. They count as memory of the process, and with the system's default they reach many
-/// megabytes. A 200 Mbit/s host fills its link with this at round trips of 5 ms.
-const RECEIVE_LEN: usize = 128 * 1024;
-
 /// Upper bound on the setting for how long callers may use a directory response.
 const MAX_ENTRY_TTL: Duration = Duration::from_secs(3);
 
@@ -123,7 +118,8 @@
         // Accepted connections take the option from the listener.
         for listener in [&sockets.callers, &sockets.relay] {
             let option = nix::sys::socket::sockopt::RcvBuf;
-            let set = nix::sys::socket::setsockopt(listener.as_raw_fd(), option, &RECEIVE_LEN);
+            let set =
+                nix::sys::socket::setsockopt(listener.as_raw_fd(), option, &memory::RECEIVE_LEN);
             set.expect("a socket option of a listening socket");
         }
     }
--- a/crates/basilhaven/src/gateway/upstream.rs
+++ b/crates/basilhaven/src/gateway/upstream.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{contact, limit, notify, pause, probe, protocol, warmup};
+use super::{contact, limit, memory, notify, pause, probe, protocol, warmup};
 use crate::{budget, finding, http1};
 
 /// How long a connection is kept idle if the upstream gives no keep-alive time.
@@ -142,6 +142,8 @@
     pub(super) warmup: warmup::Warmup,
     pub(super) limit: limit::Limit,
     pub(super) pause: pause::Pause,
+    /// The request bodies of this host that the upstream may hold.
+    pub transit: memory::Transit,
     /// Whether the upstream responds to this host.
     pub contact: contact::Contact,
     idle: RefCell<Vec<Idle>>,
@@ -168,6 +170,7 @@
             warmup: warmup::Warmup::default(),
             limit: limit::Limit::default(),
             pause: pause::Pause::default(),
+            transit: memory::Transit::default(),
             contact: contact::Contact::default(),
             idle: RefCell::default(),
             is_probe_pending: Cell::default(),
--- a/crates/basilhaven/tests/gateway/memory.rs
+++ b/crates/basilhaven/tests/gateway/memory.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use basilhaven::gateway::memory::{Budget, Decision, Limits, Phase, Purpose, Share};
+use basilhaven::gateway::memory::{
+    max_transit_len, Budget, Decision, Limits, Phase, Purpose, Share, Transit,
+};
 use basilhaven::http1::body;
 use bytes::Bytes;
 use quickcheck::QuickCheck;
@@ -259,3 +261,43 @@
     let large = vec![vec![7; 100_000]; 30];
     assert!(property(large.clone(), true) && property(large, false));
 }
+
+/// Load: large bodies for one upstream from a host with a small share. Guards against an upstream
+/// that ends because the requests it holds exceed its memory, and against one that gets none.
+#[test]
+fn large_bodies_for_one_upstream_wait_for_each_other() {
+    let max = max_transit_len(MAX_BODY_LEN, 1.0 / 24.0);
+    let transit = Transit::default();
+    let first = transit.try_enter(MAX_BODY_LEN, max);
+    assert!(first.is_some(), "a single body is never held back");
+    assert!(transit.try_enter(MAX_BODY_LEN, max).is_none());
+    assert!(transit.try_enter(60_000, max).is_some(), "an ordinary call waits for a large one");
+    drop(first);
+    let entered: Vec<_> = (0..100).map_while(|_| transit.try_enter(360_000, max)).collect();
+    // An upstream of customer 1 runs three calls at a time.
+    assert!(entered.len() >= 3, "{} uploads at a time", entered.len());
+    assert!(entered.len() * 360_000 <= max);
+}
+
+/// Load: callers that do not read their responses, and one that sends a body. Guards against slow
+/// readers that keep memory from ordinary callers, and against a response that is dropped for more
+/// of another response.
+#[test]
+fn unread_responses_are_dropped_once_they_have_stalled_and_memory_is_short() {
+    let (budget, start) = (budget(), Instant::now());
+    let responses: Vec<Share> = (0..400)
+        .map(|_| {
+            let share = budget.share(Purpose::Response, Phase::Serving, start);
+            share.add_held(BLOCK_LEN, start);
+            share
+        })
+        .collect();
+    assert!(!responses[0].try_grow(BLOCK_LEN), "there is no room");
+    assert!(responses.iter().all(|share| !share.is_dropped()), "dropped for a response");
+    responses[1..].iter().for_each(|share| share.set_phase(Phase::Receiving));
+    let later = start + Duration::from_secs(2);
+    let body = receiving(&budget, Purpose::Body, later);
+    assert_eq!(body.grow(BLOCK_LEN, later), Decision::Wait);
+    assert!(!responses[0].is_dropped(), "its caller reads");
+    assert!(responses[1..].iter().any(Share::is_dropped));
+}
