Count connections to the directory, and free a call's read buffer and request early

Cause: the directory's port accepted connections without a bound, so that a crowd there took all descriptors. A waiting call kept a read buffer of 16 KiB or more, and a caller that reads its response slowly kept its request in memory. A 413 came before a missing configuration or route was noticed.

Change: connections to the directory are admitted and dropped like callers' connections; readiness checks and metrics are not refused. The read buffer is freed when the call begins, the request before the response is delivered. 413 follows the route, as the other refusals do.

--- a/crates/basilhaven-bench/tests/clients.rs
+++ b/crates/basilhaven-bench/tests/clients.rs
@@ -337,6 +337,18 @@
     });
 }
 
+/// Guards against the same at the directory, whose address callers know too.
+#[test]
+fn connections_to_the_directory_are_kept_below_the_descriptors() {
+    run_alone(async {
+        let fixture = Fixture::start(MAX_BODY_LEN).await;
+        let crowd = play(fixture.host.directory, CONNECTIONS, |_| {
+            vec![b"GET /resolve HTTP/1.1\r\nHost: shop.example\r\n".to_vec()]
+        });
+        fixture.check(crowd).await;
+    });
+}
+
 /// Guards against bounds that refuse a request inside the limits of the configuration, and against
 /// copies of a body.
 #[test]
--- a/crates/basilhaven/src/gateway/directory.rs
+++ b/crates/basilhaven/src/gateway/directory.rs
@@ -5,15 +5,19 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use futures_util::future::{self, Either};
 use http::header::{self, HeaderMap, HeaderValue};
 use monoio::net::{TcpListener, TcpStream};
 
-use super::cluster;
+use super::{cluster, memory};
 use crate::http1::{self, body, head};
 
 /// Maximum length in bytes of a request head.
 const MAX_HEAD_LEN: usize = 4 * 1024;
 
+/// Memory of a connection's read buffer.
+const BUFFER_LEN: usize = 16 * 1024;
+
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Timeout of one write to a client that reads slowly, and of closing a connection.
@@ -64,15 +68,23 @@
     (!addresses.is_empty()).then_some(addresses)
 }
 
-/// Serves a page on a listener: `respond` maps a request head to a response.
-pub async fn serve<F>(listener: TcpListener, respond: Rc<F>)
+/// Serves a page on a listener: `respond` maps a request head to a response. The connections to a
+/// page for callers are counted in `memory`; operators and probes are let in when it is short.
+pub async fn serve<F>(listener: TcpListener, respond: Rc<F>, memory: Option<Rc<memory::Budget>>)
 where
     F: Fn(&http::request::Parts) -> Response + 'static,
 {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                monoio::spawn(handle_connection(stream, Rc::clone(&respond)));
+                let share = match &memory {
+                    None => None,
+                    Some(memory) => match memory.accept(&stream).await {
+                        Some(share) => Some(share),
+                        None => continue,
+                    },
+                };
+                monoio::spawn(handle_connection(stream, Rc::clone(&respond), share));
             }
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error);
@@ -82,12 +94,26 @@
     }
 }
 
-async fn handle_connection<F>(stream: TcpStream, respond: Rc<F>)
+async fn handle_connection<F>(stream: TcpStream, respond: Rc<F>, share: Option<memory::Share>)
 where
     F: Fn(&http::request::Parts) -> Response,
 {
+    let dropped = std::pin::pin!(async {
+        match &share {
+            Some(share) => share.dropped().await,
+            None => std::future::pending().await,
+        }
+    });
     let result = match http1::Conn::new(stream) {
-        Ok(conn) => serve_requests(conn, &*respond).await,
+        Ok(conn) => {
+            if let Some(share) = &share {
+                share.add_held(BUFFER_LEN, Instant::now());
+            }
+            match future::select(std::pin::pin!(serve_requests(conn, &*respond)), dropped).await {
+                Either::Left((result, _)) => result,
+                Either::Right(_) => Ok(()),
+            }
+        }
         Err(error) => Err(error.into()),
     };
     if let Err(error) = result {
--- a/crates/basilhaven/src/gateway/frontend.rs
+++ b/crates/basilhaven/src/gateway/frontend.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::os::fd::AsRawFd as _;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -42,10 +41,6 @@
 /// the requests behind it.
 const MAX_SKIPPED_LEN: u64 = 64 * 1024;
 
-/// How long a new connection waits for another one, which was told to close, until it looks for
-/// room again.
-const ROOM_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// How long a stopping host keeps an idle connection open for a request that is already on its way.
 const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(300);
 
@@ -113,7 +108,7 @@
         match listener.accept().await {
             // The next connection is accepted only once there is room for this one.
             Ok((stream, _)) => {
-                if let Some(share) = admit(&frontend, &stream).await {
+                if let Some(share) = frontend.memory.accept(&stream).await {
                     spawn_connection(&frontend, stream, Source::Caller, share);
                 }
             }
@@ -129,34 +124,12 @@
 pub fn serve_host(frontend: &Rc<Frontend>, stream: TcpStream) {
     let frontend = Rc::clone(frontend);
     monoio::spawn(async move {
-        if let Some(share) = admit(&frontend, &stream).await {
+        if let Some(share) = frontend.memory.accept(&stream).await {
             spawn_connection(&frontend, stream, Source::Host, share);
         }
     });
 }
 
-/// Decides whether a connection is served, and waits until there is room for it.
-async fn admit(frontend: &Frontend, stream: &TcpStream) -> Option<memory::Share> {
-    let fd = usize::try_from(stream.as_raw_fd()).unwrap_or_default();
-    loop {
-        let seen = frontend.memory.released.count();
-        match frontend.memory.admit_connection(fd, Instant::now()) {
-            memory::Decision::Granted => {
-                let (purpose, phase) = (memory::Purpose::Connection, memory::Phase::Receiving);
-                return Some(frontend.memory.share(purpose, phase, Instant::now()));
-            }
-            memory::Decision::Wait => {
-                frontend.memory.released.wait_timeout(seen, ROOM_TIMEOUT).await;
-            }
-            memory::Decision::Denied => {
-                metrics::counter!("basilhaven_connections_refused_total").increment(1);
-                tracing::debug!(event = "connection_refused");
-                return None;
-            }
-        }
-    }
-}
-
 fn spawn_connection(
     frontend: &Rc<Frontend>,
     stream: TcpStream,
@@ -206,8 +179,7 @@
 ) -> Result<Persistence, http1::Error> {
     loop {
         let limits = frontend.config.limits();
-        conn.release_buffer();
-        share.release(share.len().saturating_sub(conn.buffer_len()));
+        release_buffer(conn, share);
         share.restart(Instant::now());
         share.set_phase(memory::Phase::Receiving);
         let received = {
@@ -227,7 +199,7 @@
         };
         share.set_phase(memory::Phase::Serving);
         frontend.active_calls.set(frontend.active_calls.get() + 1);
-        let persistence = serve_request(frontend, conn, request, &limits, source).await;
+        let persistence = serve_request(frontend, conn, request, &limits, source, share).await;
         frontend.active_calls.set(frontend.active_calls.get() - 1);
         match persistence? {
             Persistence::Reuse => {}
@@ -236,6 +208,12 @@
     }
 }
 
+/// Frees the read buffer unless the caller has sent more requests.
+fn release_buffer(conn: &mut http1::Conn, share: &memory::Share) {
+    conn.release_buffer();
+    share.release(share.len().saturating_sub(conn.buffer_len()));
+}
+
 /// What arrives on a connection between two requests.
 enum Received {
     /// A request's head.
@@ -318,6 +296,7 @@
     mut request: head::Request,
     limits: &route::Limits,
     source: Source,
+    conn_share: &memory::Share,
 ) -> Result<Persistence, http1::Error> {
     let started = Instant::now();
     let keeps_alive = head::keeps_alive(request.parts.version, &request.parts.headers);
@@ -331,10 +310,6 @@
     };
     // Whatever is known without the body is answered before it is read.
     let unread = Unread::new(&request);
-    if unread.exceeds(limits.max_body_len) {
-        let status = http::StatusCode::PAYLOAD_TOO_LARGE;
-        return unread.respond(conn, status, persistence()).await;
-    }
     let Some(table) = frontend.config.table() else {
         tracing::info!(event = "not_configured");
         return unread.refuse(frontend, conn, persistence(), source).await;
@@ -351,6 +326,10 @@
         tracing::info!(event = "no_route", host, version = table.version);
         return unread.respond(conn, http::StatusCode::NOT_FOUND, persistence()).await;
     };
+    if unread.exceeds(limits.max_body_len) {
+        let status = http::StatusCode::PAYLOAD_TOO_LARGE;
+        return unread.respond(conn, status, persistence()).await;
+    }
     let deadline = deadline(frontend, &request, &route, started);
     if frontend.exit_at.get().is_some_and(|end| deadline + RESPONSE_MARGIN > end) {
         let id = request.parts.headers.get(&frontend.protocol.headers.request_id);
@@ -384,6 +363,7 @@
         Err(error) => return reject(conn, &error).await,
     };
     share.set_phase(memory::Phase::Serving);
+    release_buffer(conn, conn_share);
     let call = build_call(frontend, request, body, &route, deadline);
     let task = attempts::Task { route: &route, call: &call, terms };
     let caller_left = notify::Notifier::default();
@@ -405,6 +385,8 @@
         }
     };
     log_unanswered(&call, &route, &reply, started);
+    // A caller that reads its response slowly must not keep its request in memory.
+    drop((call, share));
     // Computed again: the host may have begun to stop while the call ran.
     deliver(frontend, conn, reply, persistence(), source).await
 }
--- a/crates/basilhaven/src/gateway/memory.rs
+++ b/crates/basilhaven/src/gateway/memory.rs
@@ -6,6 +6,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
+use std::os::fd::AsRawFd;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -50,6 +51,10 @@
 /// in progress opens.
 const SPARE_FDS: usize = 32;
 
+/// How long a new connection waits for another one, which was told to close, until it looks for
+/// room again.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// What bytes are held for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 pub enum Purpose {
@@ -227,6 +232,25 @@
         Share { budget: Rc::clone(self), holder }
     }
 
+    /// Accepts a connection, once there is room for it. Returns `None` if it is to be closed.
+    pub async fn accept(self: &Rc<Budget>, stream: &impl AsRawFd) -> Option<Share> {
+        let fd = usize::try_from(stream.as_raw_fd()).unwrap_or_default();
+        loop {
+            let seen = self.released.count();
+            match self.admit_connection(fd, Instant::now()) {
+                Decision::Granted => {
+                    return Some(self.share(Purpose::Connection, Phase::Receiving, Instant::now()));
+                }
+                Decision::Wait => self.released.wait_timeout(seen, ROOM_TIMEOUT).await,
+                Decision::Denied => {
+                    metrics::counter!("basilhaven_connections_refused_total").increment(1);
+                    tracing::debug!(event = "connection_refused");
+                    return None;
+                }
+            }
+        }
+    }
+
     /// Decides whether one more connection may be kept, whose descriptor has this number. The
     /// connection that has waited longest for a request is closed in its favour.
     ///
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -238,7 +238,7 @@
             false => http::StatusCode::NOT_FOUND,
         })
     };
-    monoio::spawn(directory::serve(ready, Rc::new(respond_ready)));
+    monoio::spawn(directory::serve(ready, Rc::new(respond_ready), None));
     let for_directory = Rc::clone(frontend);
     let respond_directory = move |parts: &http::request::Parts| {
         let Some(query) = (for_directory.protocol.parse_query)(&parts.uri) else {
@@ -253,7 +253,8 @@
             None => directory::Response::empty(http::StatusCode::SERVICE_UNAVAILABLE),
         }
     };
-    monoio::spawn(directory::serve(directory, Rc::new(respond_directory)));
+    let memory = Rc::clone(&frontend.memory);
+    monoio::spawn(directory::serve(directory, Rc::new(respond_directory), Some(memory)));
     let members = Rc::clone(&frontend.members);
     let memory = Rc::clone(&frontend.memory);
     let respond_metrics = move |_: &http::request::Parts| {
@@ -273,7 +274,7 @@
             )),
         }
     };
-    monoio::spawn(directory::serve(metrics, Rc::new(respond_metrics)));
+    monoio::spawn(directory::serve(metrics, Rc::new(respond_metrics), None));
 }
 
 /// Registers this host in the store while it is a watcher. A host that knows no other watcher reads
