--- a/crates/basilhaven-bench/tests/gateway/main.rs
+++ b/crates/basilhaven-bench/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 //! callers.
 
 mod access;
+mod bodies;
 mod fixture;
 mod hosts;
 mod leaving;
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::AsRawFd as _;
 use std::os::unix::net::UnixStream as StdUnixStream;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -14,8 +15,8 @@
 
 use super::cluster::datagram;
 use super::{
-    balancer, cluster, coordinator, directory, forward, frontend, probe, protocol, reach, registry,
-    relay, retries, settings, store, updates,
+    balancer, cluster, coordinator, directory, forward, frontend, memory, probe, protocol, reach,
+    registry, relay, retries, settings, store, updates,
 };
 use crate::{daemon, finding, log};
 
@@ -113,6 +114,15 @@
     S: store::Store,
 {
     let sockets = bind(&settings)?;
+    if settings.limits.memory.is_some() {
+        // Accepted connections take the option from the listener.
+        for listener in [&sockets.callers, &sockets.relay] {
+            let option = nix::sys::socket::sockopt::RcvBuf;
+            let set =
+                nix::sys::socket::setsockopt(listener.as_raw_fd(), option, &memory::RECEIVE_LEN);
+            set.expect("a socket option of a listening socket");
+        }
+    }
     let stop = signal_stream(&[signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT]);
     let reload = signal_stream(&[signal_hook::consts::SIGHUP]);
     // With port 0 the operating system has chosen the port.
@@ -139,6 +149,12 @@
     if settings.exposure_share.is_none() {
         tracing::info!(event = "feature_off", feature = "moves", setting = "--exposure-share");
     }
+    if settings.limits.memory.is_none() {
+        tracing::info!(event = "feature_off", feature = "memory", setting = "--memory-mb");
+    }
+    if settings.limits.max_fds.is_none() {
+        tracing::info!(event = "feature_off", feature = "descriptors", setting = "--max-fds");
+    }
     replica.moves.set_exposure(settings.exposure_share);
     replica.set_orders_within(settings.orders_within);
     replica.registry.set_heartbeat_interval(settings.heartbeat);
@@ -193,6 +209,7 @@
         balancer,
         forwarder,
         members: Rc::clone(&replica.members),
+        memory: Rc::new(memory::Budget::new(settings.limits)),
         protocol,
         retries: retries::Allowance { ratio: settings.retry_ratio, slack: settings.retry_slack },
         open_connections: Cell::default(),
@@ -221,7 +238,7 @@
             false => http::StatusCode::NOT_FOUND,
         })
     };
-    monoio::spawn(directory::serve(ready, Rc::new(respond_ready)));
+    monoio::spawn(directory::serve(ready, Rc::new(respond_ready), None));
     let for_directory = Rc::clone(frontend);
     let respond_directory = move |parts: &http::request::Parts| {
         let Some(query) = (for_directory.protocol.parse_query)(&parts.uri) else {
@@ -236,9 +253,15 @@
             None => directory::Response::empty(http::StatusCode::SERVICE_UNAVAILABLE),
         }
     };
-    monoio::spawn(directory::serve(directory, Rc::new(respond_directory)));
+    let memory = Rc::clone(&frontend.memory);
+    monoio::spawn(directory::serve(directory, Rc::new(respond_directory), Some(memory)));
     let members = Rc::clone(&frontend.members);
+    let memory = Rc::clone(&frontend.memory);
     let respond_metrics = move |_: &http::request::Parts| {
+        for purpose in memory::Purpose::ALL {
+            metrics::gauge!("basilhaven_held_bytes", "purpose" => purpose.to_string())
+                .set(memory.held(purpose) as f64);
+        }
         metrics::gauge!("basilhaven_live_hosts").set(members.live_count(Instant::now()) as f64);
         metrics::gauge!("basilhaven_homes").set(members.advertised_count(Instant::now()) as f64);
         directory::Response {
@@ -251,7 +274,7 @@
             )),
         }
     };
-    monoio::spawn(directory::serve(metrics, Rc::new(respond_metrics)));
+    monoio::spawn(directory::serve(metrics, Rc::new(respond_metrics), None));
 }
 
 /// Registers this host in the store while it is a watcher. A host that knows no other watcher reads
