Tell refused callers when room is to be expected

Cause: Retry-After was a constant 100 ms. Callers that were refused together came back together, before there was room, and one that returned was put behind new ones.

Change: Retry-After is the time that room has been scarce or that the calls ahead need, whichever is longer, at most the third of the remaining time that callers honour, and spread over its upper half. Calls of one priority go in the order of their callers' first attempts, so that a return neither loses nor gains a place. New metrics: calls waiting, and a histogram of Retry-After.

--- a/crates/basilhaven/src/gateway/frontend.rs
+++ b/crates/basilhaven/src/gateway/frontend.rs
@@ -355,7 +355,10 @@
 ) {
     let status = match reply {
         attempts::Reply::Response(_) => return,
-        attempts::Reply::NotRun { .. } => http::StatusCode::SERVICE_UNAVAILABLE,
+        attempts::Reply::NotRun { retry_after, .. } => {
+            metrics::histogram!("basilhaven_retry_after_seconds").record(retry_after.as_secs_f64());
+            http::StatusCode::SERVICE_UNAVAILABLE
+        }
         attempts::Reply::Unknown(status) => *status,
     };
     metrics::counter!("basilhaven_unanswered_total", "status" => status.as_u16().to_string())
--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -304,11 +304,18 @@
 
     /// Gives up on the call because of a refusal.
     fn refuse(&self, refusal: balancer::Refusal, progress: &mut Progress) -> ControlFlow<()> {
-        if let balancer::Refusal::RateLimited { retry_after: Some(time) }
-        | balancer::Refusal::Paused { retry_after: time }
-        | balancer::Refusal::TooLate { retry_after: time } = refusal
-        {
-            progress.retry_after = time;
+        match refusal {
+            balancer::Refusal::RateLimited { retry_after: Some(time) }
+            | balancer::Refusal::Paused { retry_after: time }
+            | balancer::Refusal::TooLate { retry_after: time } => progress.retry_after = time,
+            balancer::Refusal::NoCapacity | balancer::Refusal::Reserved => {
+                let now = Instant::now();
+                let left = self.task.call.deadline.saturating_duration_since(now);
+                progress.retry_after = self.queue.room.retry_after(self.queue.len(), left, now);
+            }
+            balancer::Refusal::NoUpstream
+            | balancer::Refusal::Unreachable
+            | balancer::Refusal::RateLimited { retry_after: None } => {}
         }
         self.log_refusal(refusal, progress);
         flow(false)
--- a/crates/basilhaven/src/gateway/queue.rs
+++ b/crates/basilhaven/src/gateway/queue.rs
@@ -98,6 +98,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Position {
     priority: u32,
+    /// When the caller made its first attempt, as far as known.
+    born: Instant,
     /// Increases in the order in which calls join the queue.
     number: u64,
     latest_on_time_start: Instant,
@@ -106,10 +108,12 @@
 impl Position {
     /// Returns the sort key of the queue: calls that can still meet their target come first, since
     /// a late response is worth little and the slot that it takes makes the next call late as well.
-    /// The calls of a starved priority come before all others.
-    fn sort_key(&self, room: &room::Service, now: Instant) -> (bool, bool, u32, u64) {
+    /// The calls of a starved priority come before all others. A caller that returns after a refusal
+    /// has the place that it would have if it had waited, however soon it returns.
+    fn sort_key(&self, room: &room::Service, now: Instant) -> (bool, bool, u32, Instant, u64) {
         let is_starved = room.is_starved(self.priority);
-        (!is_starved, now > self.latest_on_time_start, self.priority, self.number)
+        let is_late = now > self.latest_on_time_start;
+        (!is_starved, is_late, self.priority, self.born, self.number)
     }
 }
 
@@ -128,9 +132,13 @@
         let age = requirements.age.unwrap_or_default();
         let latest_on_time_start =
             latest_on_time_start.checked_sub(age).unwrap_or(latest_on_time_start);
-        let position = Position { priority: requirements.priority, number, latest_on_time_start };
+        let now = Instant::now();
+        let born = now.checked_sub(age).unwrap_or(now);
+        let priority = requirements.priority;
+        let position = Position { priority, born, number, latest_on_time_start };
         queue.waiting.borrow_mut().push(position);
-        queue.room.record_arrival(requirements.priority, Instant::now());
+        queue.room.record_arrival(priority, now);
+        metrics::gauge!("basilhaven_waiting_calls").increment(1.0);
         Ticket { queue, position, is_placed: Cell::new(false) }
     }
 
@@ -197,6 +205,7 @@
 
 impl Drop for Ticket<'_> {
     fn drop(&mut self) {
+        metrics::gauge!("basilhaven_waiting_calls").decrement(1.0);
         let Position { number, priority, .. } = self.position;
         self.queue.room.record_departure(priority, self.is_placed.get(), Instant::now());
         self.queue.waiting.borrow_mut().retain(|position| position.number != number);
--- a/crates/basilhaven/src/gateway/room.rs
+++ b/crates/basilhaven/src/gateway/room.rs
@@ -61,7 +61,11 @@
 /// The part of a caller's remaining time up to which callers honour `Retry-After`.
 const HONOURED_SHARE: u32 = 3;
 
-/// The least time after which a refused caller is told to retry.
+/// The part of the time until a retry over which retries are spread.
+const RETRY_SPREAD: f64 = 0.5;
+
+/// The least time after which a refused caller is told to retry, before the spread. A caller that
+/// has too little time for it is told a third of its time.
 pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// What an upstream has reported, updated by the calls that this host has sent since.
@@ -381,6 +385,19 @@
         self.scarce_since.get().map(|since| now.saturating_duration_since(since))
     }
 
+    /// Returns when the caller of a refused call with `ahead` calls ahead of it should retry, if it
+    /// waits for another `left`.
+    ///
+    /// The time is that until there will probably be room: scarcity is expected to last as long
+    /// again as it has lasted, and the calls ahead go first. It is no longer than callers honour,
+    /// and spread, so that callers that are refused together do not return together.
+    pub fn retry_after(&self, ahead: usize, left: Duration, now: Instant) -> Duration {
+        let Some(scarcity) = self.scarcity(now) else { return MIN_RETRY_AFTER };
+        let until_room = scarcity.max(self.backlog(ahead, now).unwrap_or_default());
+        let longest = until_room.max(MIN_RETRY_AFTER).min(left / HONOURED_SHARE);
+        longest.mul_f64(1.0 - RETRY_SPREAD * fastrand::f64())
+    }
+
     /// Decides what a waiting call does next.
     ///
     /// A call that can still be in time searches in its turn while more slots are free than are
@@ -406,9 +423,8 @@
         if !call.is_age_known || scarcity < left.max(MIN_SCARCITY) {
             return Decision::Wait(HOLD_INTERVAL.min(left));
         }
-        // Scarcity is expected to last as long again as it has lasted.
-        let honoured = call.deadline.saturating_duration_since(now) / HONOURED_SHARE;
-        let retry_after = scarcity.max(backlog).min(honoured).max(MIN_RETRY_AFTER);
+        let left = call.deadline.saturating_duration_since(now);
+        let retry_after = self.retry_after(call.ahead, left, now);
         Decision::Refuse { retry_after }
     }
 }
--- a/crates/basilhaven/tests/gateway/room.rs
+++ b/crates/basilhaven/tests/gateway/room.rs
@@ -162,7 +162,9 @@
         let rank = |call: &Call| self.load.kinds[call.kind].priority;
         let is_starved =
             |call: &Call| rule == Rule::Room && self.hosts[host].room.is_starved(rank(call));
-        waiting.sort_by_key(|call| (!is_starved(call), is_late(call), rank(call), call.number));
+        waiting.sort_by_key(|call| {
+            (!is_starved(call), is_late(call), rank(call), call.seen_born, call.number)
+        });
         let own = &self.hosts[host];
         let reports = own.reports.iter().flatten().map(|&(occupancy, at)| {
             let age = Duration::from_millis(now - at);
@@ -203,7 +205,16 @@
             }
             match self.at(now) < seen.queue_until {
                 true => kept.push(call),
-                false => self.refuse(call, host, room::MIN_RETRY_AFTER, now),
+                false => {
+                    let left = seen.deadline.saturating_duration_since(self.at(now));
+                    let retry_after = match rule {
+                        Rule::SearchUntilDeadline => room::MIN_RETRY_AFTER,
+                        Rule::Room => {
+                            self.hosts[host].room.retry_after(kept.len(), left, self.at(now))
+                        }
+                    };
+                    self.refuse(call, host, retry_after, now);
+                }
             }
         }
         self.hosts[host].waiting = kept;
@@ -385,6 +396,39 @@
     assert!(retry_after <= ms(800) / 3, "callers honour a third of their time: {retry_after:?}");
 }
 
+/// Guards against callers that all return at the same moment, or are told more than they honour.
+#[test]
+fn retry_after_is_spread_and_no_longer_than_callers_honour() {
+    let ms = Duration::from_millis;
+    fastrand::seed(5);
+    let start = Instant::now();
+    let service = full_service(start, ms(900));
+    let now = start + ms(900);
+    let times: Vec<_> = (0..200).map(|_| service.retry_after(0, ms(1500), now)).collect();
+    assert!(times.iter().all(|time| (ms(250)..=ms(500)).contains(time)), "{times:?}");
+    for from in [250, 300, 350, 400, 450] {
+        let slice = times.iter().filter(|&time| (ms(from)..ms(from + 50)).contains(time)).count();
+        assert!((20..=60).contains(&slice), "{slice} of 200 from {from} ms on");
+    }
+    assert!(service.retry_after(0, ms(90), now) <= ms(30));
+    let unknown = room::Service::default().retry_after(9, ms(90), now);
+    assert_eq!(unknown, room::MIN_RETRY_AFTER, "nothing is known");
+}
+
+/// Guards against a `Retry-After` that does not count the calls ahead: the caller would return into
+/// the same queue.
+#[test]
+fn retry_after_grows_with_the_calls_ahead() {
+    let ms = Duration::from_millis;
+    fastrand::seed(5);
+    let start = Instant::now();
+    let service = full_service(start, Duration::ZERO);
+    (0..20).for_each(|_| service.record_end(start));
+    let mean =
+        |ahead| (0..100).map(|_| service.retry_after(ahead, ms(9000), start)).sum::<Duration>();
+    assert!(mean(40) > mean(20).mul_f64(1.5) && mean(20) > mean(0).mul_f64(1.5));
+}
+
 /// Guards against hosts that hold calls back by what was known a while ago, or by too few reports.
 #[test]
 fn a_late_call_searches_while_nothing_is_known_of_the_room() {
