Give a short retry budget to the higher priorities first

Cause: the budget went to whichever call asked first. While all upstreams shed a share of their calls, uploads used as much of it as lookups.

Change: a retry tells its rank among the service's recent priorities. Once retries of a higher rank were denied in the window, the last 0.2 of the allowance is kept from the second rank and the last 0.4 from lower ones. Each rank may use 0.15 in any case. Denied retries are counted by rank.

A budget that is not short serves all alike.

--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -150,9 +150,7 @@
     let min_time = route.latency_target.mul_f64(MIN_TIME_SHARE);
     while progress.attempts < task.max_attempts() && progress.failed_connects < MAX_FAILED_CONNECTS
     {
-        if progress.attempts > 0
-            && !queue.retries.try_spend(Instant::now(), frontend.retry_allowance())
-        {
+        if progress.attempts > 0 && !run.try_spend_retry() {
             break;
         }
         // A host of an earlier build would not know that the call may have been sent before.
@@ -207,6 +205,19 @@
 }
 
 impl Run<'_> {
+    /// Takes a retry from this host's share of the budget; returns whether one was left for a call of
+    /// this priority.
+    fn try_spend_retry(&self) -> bool {
+        let now = Instant::now();
+        let rank = self.queue.room.rank(self.task.route.priority, now);
+        let is_allowed = self.queue.retries.try_spend(now, self.frontend.retry_allowance(), rank);
+        if !is_allowed {
+            metrics::counter!("basilhaven_retries_denied_total", "rank" => rank.to_string())
+                .increment(1);
+        }
+        is_allowed
+    }
+
     /// Sends the call to an upstream.
     async fn attempt(&self, permit: balancer::Permit, progress: &mut Progress) -> ControlFlow<()> {
         let (frontend, table) = (self.frontend, self.table);
--- a/crates/basilhaven/src/gateway/retries.rs
+++ b/crates/basilhaven/src/gateway/retries.rs
@@ -14,10 +14,10 @@
 /// let now = Instant::now();
 /// let budget = retries::Budget::new(Duration::from_secs(10));
 /// let allowance = retries::Allowance { ratio: 0.1, slack: 1.0 };
-/// assert!(budget.try_spend(now, allowance));
-/// assert!(!budget.try_spend(now, allowance));
+/// assert!(budget.try_spend(now, allowance, 0));
+/// assert!(!budget.try_spend(now, allowance, 0));
 /// (0..10).for_each(|_| budget.record_call(now));
-/// assert!(budget.try_spend(now, allowance));
+/// assert!(budget.try_spend(now, allowance, 0));
 /// ```
 #[derive(Debug)]
 pub struct Budget {
@@ -50,46 +50,97 @@
 /// Slices of a window; each expires as a whole.
 const SLICE_COUNT: usize = 10;
 
+/// Number of ranks that are told apart; 0 is the highest.
+const RANK_COUNT: usize = 3;
+
+/// Parts of the allowance that are kept for calls of higher rank whose retries were denied within
+/// the window, by rank. As long as none was denied, an allowance serves all ranks alike.
+const KEPT_PARTS: [f64; RANK_COUNT] = [0.0, 0.2, 0.4];
+
+/// Part of the allowance that each rank may use in any case. Without it, lower ranks get almost
+/// nothing while a higher one asks for more than the allowance.
+const GUARANTEED_PART: f64 = 0.15;
+
+/// What was counted in a slice, or in several.
+#[derive(Debug, Default, Clone, Copy)]
+struct Slice {
+    calls: u32,
+    /// Retries that were asked for, by rank.
+    requested: [u32; RANK_COUNT],
+    /// Retries that were spent, by rank.
+    spent: [u32; RANK_COUNT],
+}
+
+impl Slice {
+    fn add(mut self, other: &Slice) -> Slice {
+        self.calls += other.calls;
+        for rank in 0..RANK_COUNT {
+            self.requested[rank] += other.requested[rank];
+            self.spent[rank] += other.spent[rank];
+        }
+        self
+    }
+
+    /// Returns how many of the first `part` requested retries of a rank were denied.
+    fn denied(&self, rank: usize, part: f64) -> f64 {
+        (f64::from(self.requested[rank]).min(part) - f64::from(self.spent[rank])).max(0.0)
+    }
+
+    /// Returns whether this window leaves a retry to a call of this rank, out of `allowed`.
+    fn admits(&self, rank: usize, allowed: f64) -> bool {
+        let guaranteed = GUARANTEED_PART * allowed;
+        let others = (0..RANK_COUNT).filter(|&other| other != rank);
+        let owed: f64 = others.map(|other| self.denied(other, guaranteed)).sum();
+        let denied: f64 = (0..rank).map(|higher| self.denied(higher, f64::INFINITY)).sum();
+        let is_guaranteed = f64::from(self.spent[rank]) + 1.0 <= guaranteed;
+        let kept = if is_guaranteed { 0.0 } else { denied.min(KEPT_PARTS[rank] * allowed) };
+        let spent: u32 = self.spent.iter().sum();
+        f64::from(spent) + 1.0 + owed.max(kept) <= allowed
+    }
+}
+
 #[derive(Debug)]
 struct State {
     /// Start of the current slice.
     since: Instant,
-    /// Calls and retries of each slice, the current one first.
-    slices: [(u32, u32); SLICE_COUNT + 1],
+    /// The current slice first.
+    slices: [Slice; SLICE_COUNT + 1],
 }
 
 impl Budget {
     /// Creates a budget with a window of this length.
     pub fn new(window: Duration) -> Budget {
-        let state = State { since: Instant::now(), slices: [(0, 0); SLICE_COUNT + 1] };
+        let state = State { since: Instant::now(), slices: Default::default() };
         Budget { slice_len: window / SLICE_COUNT as u32, state: RefCell::new(state) }
     }
 
     /// Records a call.
     pub fn record_call(&self, now: Instant) {
         self.advance(now);
-        self.state.borrow_mut().slices[0].0 += 1;
+        self.state.borrow_mut().slices[0].calls += 1;
     }
 
     /// Withdraws a recorded call, because another host sends it.
     pub fn withdraw_call(&self, now: Instant) {
         self.advance(now);
         let mut state = self.state.borrow_mut();
-        state.slices[0].0 = state.slices[0].0.saturating_sub(1);
+        state.slices[0].calls = state.slices[0].calls.saturating_sub(1);
     }
 
-    /// Spends one retry if the allowance of the window permits it; returns whether it does.
-    pub fn try_spend(&self, now: Instant, allowance: Allowance) -> bool {
+    /// Spends one retry of a call of this rank if the allowance of the window permits it; returns
+    /// whether it does. While the allowance is short, its last part is kept for the higher ranks.
+    pub fn try_spend(&self, now: Instant, allowance: Allowance, rank: usize) -> bool {
         self.advance(now);
+        let rank = rank.min(RANK_COUNT - 1);
         let mut state = self.state.borrow_mut();
-        let calls: u32 = state.slices.iter().map(|slice| slice.0).sum();
-        let spent: u32 = state.slices.iter().map(|slice| slice.1).sum();
-        let is_allowed =
-            f64::from(spent) + 1.0 <= allowance.ratio * f64::from(calls) + allowance.slack;
-        if is_allowed {
-            state.slices[0].1 += 1;
+        let window = state.slices.iter().fold(Slice::default(), Slice::add);
+        state.slices[0].requested[rank] += 1;
+        let allowed = allowance.ratio * f64::from(window.calls) + allowance.slack;
+        let is_admitted = window.admits(rank, allowed);
+        if is_admitted {
+            state.slices[0].spent[rank] += 1;
         }
-        is_allowed
+        is_admitted
     }
 
     /// Drops the slices that have left the window.
@@ -106,6 +157,6 @@
         state.since = counted.map_or(now, |counted| state.since + counted);
         let kept = SLICE_COUNT + 1 - slices.min(SLICE_COUNT + 1);
         state.slices.copy_within(0..kept, SLICE_COUNT + 1 - kept);
-        state.slices[..SLICE_COUNT + 1 - kept].fill((0, 0));
+        state.slices[..SLICE_COUNT + 1 - kept].fill(Slice::default());
     }
 }
--- a/crates/basilhaven/src/gateway/room.rs
+++ b/crates/basilhaven/src/gateway/room.rs
@@ -349,12 +349,15 @@
         counts.iter().filter(is_starved).map(|&(priority, ..)| priority).collect()
     }
 
+    /// Returns the rank of a priority among those of the service's recent calls; 0 is the highest.
+    pub fn rank(&self, priority: u32, now: Instant) -> usize {
+        let is_recent = |kind: &Kind| now.saturating_duration_since(kind.arrived_at) < KIND_WINDOW;
+        self.kinds.borrow().range(..priority).filter(|(_, kind)| is_recent(kind)).count()
+    }
+
     /// Returns the free share up to which timely calls of a priority are held back.
     fn reserve(&self, priority: u32, now: Instant) -> f64 {
-        let is_recent = |kind: &Kind| now.saturating_duration_since(kind.arrived_at) < KIND_WINDOW;
-        let kinds = self.kinds.borrow();
-        let rank = kinds.range(..priority).filter(|(_, kind)| is_recent(kind)).count();
-        RANK_RESERVES[rank.min(RANK_RESERVES.len() - 1)]
+        RANK_RESERVES[self.rank(priority, now).min(RANK_RESERVES.len() - 1)]
     }
 
     /// Returns the share of the slots that are free, as recent load reports show it; `None` without
--- a/crates/basilhaven/tests/gateway/limits.rs
+++ b/crates/basilhaven/tests/gateway/limits.rs
@@ -21,7 +21,7 @@
             for _ in 0..*calls {
                 budget.record_call(now);
                 made += 1.0;
-                while budget.try_spend(now, allowed.for_host(1.0 / hosts as f64)) {
+                while budget.try_spend(now, allowed.for_host(1.0 / hosts as f64), number % 4) {
                     spent += 1.0;
                 }
             }
@@ -39,9 +39,51 @@
     let start = Instant::now();
     let budget = retries::Budget::new(Duration::from_secs(10));
     let one = retries::Allowance { ratio: 0.0, slack: 1.0 };
-    assert!(budget.try_spend(start, one));
-    assert!(!budget.try_spend(start + Duration::from_millis(9900), one));
-    assert!(budget.try_spend(start + Duration::from_millis(11_100), one));
+    assert!(budget.try_spend(start, one, 0));
+    assert!(!budget.try_spend(start + Duration::from_millis(9900), one, 0));
+    assert!(budget.try_spend(start + Duration::from_millis(11_100), one, 0));
+}
+
+/// Plays a minute of calls of three ranks, 10, 5 and 10 a second, of which a share is shed; returns
+/// the share of the retries that each rank got. `by_rank` tells the budget their rank.
+fn granted(shed_share: f64, by_rank: bool) -> [f64; 3] {
+    fastrand::seed(4);
+    let start = Instant::now();
+    let budget = retries::Budget::new(Duration::from_secs(10));
+    let allowed = retries::Allowance { ratio: 0.2, slack: 160.0 }.for_host(1.0 / 24.0);
+    let (mut requested, mut granted) = ([0.0; 3], [0.0; 3]);
+    for ms in (0..60_000).step_by(20) {
+        let now = start + Duration::from_millis(ms);
+        for (rank, per_second) in [10.0, 5.0, 10.0].into_iter().enumerate() {
+            if fastrand::f64() >= per_second / 50.0 {
+                continue;
+            }
+            budget.record_call(now);
+            if fastrand::f64() < shed_share {
+                requested[rank] += 1.0;
+                let rank_told = if by_rank { rank } else { 0 };
+                granted[rank] += f64::from(budget.try_spend(now, allowed, rank_told));
+            }
+        }
+    }
+    std::array::from_fn(|rank| granted[rank] / requested[rank])
+}
+
+/// Guards against a budget that calls of low priority use up while upstreams shed 0.55 of all calls.
+#[test]
+fn a_short_retry_budget_goes_to_the_higher_ranks_first() {
+    let (before, after) = (granted(0.55, false), granted(0.55, true));
+    assert!(before[0] < 0.5, "the budget is not short: {before:?}");
+    assert!(after[0] > 1.5 * before[0], "{before:?} {after:?}");
+    assert!(after[0] > after[1] && after[1] > after[2], "{after:?}");
+    let all = (2.0 * after[0] + after[1] + 2.0 * after[2]) / 5.0;
+    assert!(after[2] > 0.25 * all, "the lowest rank gets too few: {after:?}");
+}
+
+/// Guards against a part that is kept for higher ranks although the budget is not short.
+#[test]
+fn a_sufficient_retry_budget_serves_all_ranks_alike() {
+    assert_eq!(granted(0.05, true), [1.0; 3]);
 }
 
 #[test]
