Learn the share of sends that all upstreams shed

Cause: in a span in which all upstreams shed 0.55 of their calls, each shed counted as half a failure of its upstream, so that idle upstreams seemed too expensive, and the time that the calls ahead need left out their second sends. A shed call joined the queue again behind new ones.

Change: room::Service learns the share from this host's sends. It lengthens the backlog and weakens the weight of a shed in an upstream's failure record. A call keeps its place by its arrival when it is sent again. A retry of a call that has missed its target has the lowest rank of the retry budget.

Also mends a fault of the reserves: the highest priority was held back while reports showed no free slot at all, though nothing is reserved from it. The test of the backlog failed on it.

MaxAttempts stays the most sends of a call, so that a call that two upstreams shed still ends refused.

--- a/crates/basilhaven/src/gateway/balancer.rs
+++ b/crates/basilhaven/src/gateway/balancer.rs
@@ -58,6 +58,8 @@
     pub deadline: Instant,
     /// Time by which the call has to be answered to meet the route's latency target.
     pub target_at: Instant,
+    /// When the call arrived at the first host.
+    pub arrived_at: Instant,
     /// Time between the caller's first attempt and this one, if known.
     pub age: Option<Duration>,
     /// Baseline latency of the route's calls; see [`Queue::baseline`].
--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use crate::gateway::moves::evidence;
-use crate::gateway::{attempt, balancer, forward, frontend, history, notify, queue, route};
+use crate::gateway::{
+    attempt, balancer, forward, frontend, history, notify, queue, retries, route,
+};
 use crate::profile;
 
 /// How soon the caller of a call that was not run may retry: if no upstream had capacity, and if
@@ -147,6 +149,7 @@
         reply: None,
         retry_after: RETRY_AFTER,
     };
+    let arrived_at = started.checked_sub(elapsed).unwrap_or(started);
     let min_time = route.latency_target.mul_f64(MIN_TIME_SHARE);
     while progress.attempts < task.max_attempts() && progress.failed_connects < MAX_FAILED_CONNECTS
     {
@@ -162,7 +165,8 @@
             tried_upstreams: progress.sends.upstreams(),
             queue_until: call.deadline.checked_sub(min_time).unwrap_or(call.deadline),
             deadline: call.deadline,
-            target_at: started.checked_sub(elapsed).unwrap_or(started) + route.latency_target,
+            target_at: arrived_at + route.latency_target,
+            arrived_at,
             age,
             baseline: queue.baseline(route),
             may_be_passed_on,
@@ -206,10 +210,13 @@
 
 impl Run<'_> {
     /// Takes a retry from this host's share of the budget; returns whether one was left for a call of
-    /// this priority.
+    /// this rank. A call that has missed its latency target has the lowest rank.
     fn try_spend_retry(&self) -> bool {
         let now = Instant::now();
-        let rank = self.queue.room.rank(self.task.route.priority, now);
+        let rank = match self.started.elapsed() < self.task.route.latency_target {
+            true => self.queue.room.rank(self.task.route.priority, now),
+            false => retries::LOWEST_RANK,
+        };
         let is_allowed = self.queue.retries.try_spend(now, self.frontend.retry_allowance(), rank);
         if !is_allowed {
             metrics::counter!("basilhaven_retries_denied_total", "rank" => rank.to_string())
@@ -233,6 +240,10 @@
         let is_repeatable = call.idempotency == profile::Idempotency::Idempotent;
         let mut may_continue = true;
         let mut weight = FAILURE_WEIGHT;
+        if !matches!(outcome, attempt::Outcome::NotRun(attempt::Cause::Connect)) {
+            let is_shed = matches!(outcome, attempt::Outcome::NotRun(attempt::Cause::Shed));
+            self.queue.room.record_send(is_shed, now);
+        }
         match outcome {
             attempt::Outcome::Answered(response) => {
                 progress.attempts += 1;
@@ -251,7 +262,8 @@
                 progress.attempts += 1;
                 progress.retry_after = RETRY_AFTER_SHED;
                 if cause == attempt::Cause::Shed {
-                    weight = SHED_WEIGHT;
+                    // Where all upstreams shed a share of their calls, a shed tells less of the one.
+                    weight = SHED_WEIGHT * (1.0 - self.queue.room.shed_share(now));
                 }
             }
             attempt::Outcome::Unknown(_) => {
--- a/crates/basilhaven/src/gateway/queue.rs
+++ b/crates/basilhaven/src/gateway/queue.rs
@@ -133,7 +133,7 @@
         let latest_on_time_start =
             latest_on_time_start.checked_sub(age).unwrap_or(latest_on_time_start);
         let now = Instant::now();
-        let born = now.checked_sub(age).unwrap_or(now);
+        let born = requirements.arrived_at.checked_sub(age).unwrap_or(requirements.arrived_at);
         let priority = requirements.priority;
         let position = Position { priority, born, number, latest_on_time_start };
         queue.waiting.borrow_mut().push(position);
--- a/crates/basilhaven/src/gateway/retries.rs
+++ b/crates/basilhaven/src/gateway/retries.rs
@@ -53,6 +53,9 @@
 /// Number of ranks that are told apart; 0 is the highest.
 const RANK_COUNT: usize = 3;
 
+/// The rank of the least urgent retries; larger ranks count as this one.
+pub const LOWEST_RANK: usize = RANK_COUNT - 1;
+
 /// Parts of the allowance that are kept for calls of higher rank whose retries were denied within
 /// the window, by rank. As long as none was denied, an allowance serves all ranks alike.
 const KEPT_PARTS: [f64; RANK_COUNT] = [0.0, 0.2, 0.4];
@@ -131,7 +134,7 @@
     /// whether it does. While the allowance is short, its last part is kept for the higher ranks.
     pub fn try_spend(&self, now: Instant, allowance: Allowance, rank: usize) -> bool {
         self.advance(now);
-        let rank = rank.min(RANK_COUNT - 1);
+        let rank = rank.min(LOWEST_RANK);
         let mut state = self.state.borrow_mut();
         let window = state.slices.iter().fold(Slice::default(), Slice::add);
         state.slices[0].requested[rank] += 1;
--- a/crates/basilhaven/src/gateway/room.rs
+++ b/crates/basilhaven/src/gateway/room.rs
@@ -58,6 +58,12 @@
 /// Calls that must have ended within the window for their rate to be known.
 const MIN_ENDED: f64 = 3.0;
 
+/// Time constant of the counts of sends and sheds.
+const SHED_WINDOW: Duration = Duration::from_secs(5);
+
+/// Sends within the window from which the shed share is computed.
+const MIN_SENDS: f64 = 10.0;
+
 /// The part of a caller's remaining time up to which callers honour `Retry-After`.
 const HONOURED_SHARE: u32 = 3;
 
@@ -253,6 +259,9 @@
     scarce_since: Cell<Option<Instant>>,
     /// Calls of this host that have ended.
     ended: Decayed,
+    /// Recent sends of this host, and those that upstreams shed.
+    sends: Decayed,
+    sheds: Decayed,
     /// The recent calls by priority.
     kinds: RefCell<BTreeMap<u32, Kind>>,
     /// The starved priorities as of the last observation.
@@ -265,6 +274,8 @@
             observation: Cell::default(),
             scarce_since: Cell::default(),
             ended: Decayed::new(RATE_WINDOW),
+            sends: Decayed::new(SHED_WINDOW),
+            sheds: Decayed::new(SHED_WINDOW),
             kinds: RefCell::default(),
             starved: RefCell::default(),
         }
@@ -313,6 +324,24 @@
         self.ended.increment(now);
     }
 
+    /// Records that a call was sent, and whether the upstream shed it.
+    pub fn record_send(&self, is_shed: bool, now: Instant) {
+        self.sends.increment(now);
+        if is_shed {
+            self.sheds.increment(now);
+        }
+    }
+
+    /// Returns the share of this host's sends that the upstreams shed; 0 if too few are known.
+    pub fn shed_share(&self, now: Instant) -> f64 {
+        let sends = self.sends.value(now);
+        if sends >= MIN_SENDS {
+            self.sheds.value(now) / sends
+        } else {
+            0.0
+        }
+    }
+
     /// Records that a call of this priority has begun to wait.
     pub fn record_arrival(&self, priority: u32, now: Instant) {
         let mut kinds = self.kinds.borrow_mut();
@@ -375,10 +404,10 @@
     }
 
     /// Returns how long this host needs to place `ahead` calls while no room is idle; `None` if that
-    /// is unknown.
+    /// is unknown. A call that is shed is sent once more.
     fn backlog(&self, ahead: usize, now: Instant) -> Option<Duration> {
         let ended = self.ended.value(now);
-        let per_call = RATE_WINDOW.as_secs_f64() / ended;
+        let per_call = RATE_WINDOW.as_secs_f64() / ended * (1.0 + self.shed_share(now));
         (ended >= MIN_ENDED).then(|| Duration::from_secs_f64(per_call * ahead as f64))
     }
 
@@ -418,8 +447,8 @@
         }
         let backlog = self.backlog(call.ahead, now).unwrap_or_default();
         if now + backlog <= call.latest_on_time_start {
-            let is_held =
-                self.free_share(now).is_some_and(|free| free <= self.reserve(call.priority, now));
+            let reserve = self.reserve(call.priority, now);
+            let is_held = reserve > 0.0 && self.free_share(now).is_some_and(|free| free <= reserve);
             return if is_held { Decision::Wait(HOLD_INTERVAL) } else { Decision::Search };
         }
         let left = call.queue_until.saturating_duration_since(now);
--- a/crates/basilhaven/tests/gateway/room.rs
+++ b/crates/basilhaven/tests/gateway/room.rs
@@ -5,7 +5,9 @@
 use std::collections::BinaryHeap;
 use std::time::{Duration, Instant};
 
-use basilhaven::gateway::room;
+use basilhaven::gateway::{balancer, room, selection};
+
+use crate::{load, upstream};
 
 /// Upstreams have three slots, as those of the users' platform.
 const SLOTS: u32 = 3;
@@ -456,3 +458,60 @@
     assert_eq!(deadlines.record(ms(1200), now), Some(ms(800)));
     assert_eq!(deadlines.record(ms(9000), now), Some(ms(0)));
 }
+
+/// Returns how many of 32 upstreams a new lookup accepts while idle, after a minute of 25 calls a
+/// second of which each upstream sheds 0.55.
+fn accepted_upstreams(learns_share: bool) -> usize {
+    fastrand::seed(6);
+    let (ms, start) = (Duration::from_millis, Instant::now());
+    let service = room::Service::default();
+    let upstreams: Vec<_> =
+        (0..32).map(|id| upstream(&format!("i-{id}"), "v1", "a", start)).collect();
+    let mut now = start;
+    for _ in 0..1500 {
+        now += ms(40);
+        let is_shed = fastrand::f64() < 0.55;
+        service.record_send(is_shed, now);
+        let one = fastrand::choice(&upstreams).expect("an upstream");
+        match is_shed {
+            true if learns_share => one.record_failure(now, 0.5 * (1.0 - service.shed_share(now))),
+            true => one.record_failure(now, 0.5),
+            false => one.record_success(now),
+        }
+    }
+    upstreams.iter().for_each(|one| one.record_report(load(0, 1.0), now));
+    let lookup = balancer::Requirements {
+        service: &"catalogo".into(),
+        priority: 0,
+        tried_upstreams: &[],
+        queue_until: now + ms(1900),
+        deadline: now + ms(2000),
+        target_at: now + ms(500),
+        arrived_at: now,
+        age: None,
+        baseline: ms(220),
+        may_be_passed_on: false,
+    };
+    upstreams.iter().filter(|one| lookup.accepts(selection::cost(one, "a", now), now)).count()
+}
+
+/// Guards against calls that wait beside free slots because every upstream has shed calls of late.
+#[test]
+fn upstreams_that_all_shed_a_share_of_their_calls_are_still_used() {
+    let (before, after) = (accepted_upstreams(false), accepted_upstreams(true));
+    assert!(before < 32, "the load keeps calls from no upstream");
+    assert!(after > before, "{before} {after}");
+}
+
+/// Guards against a backlog that leaves out the sends that upstreams shed.
+#[test]
+fn the_calls_ahead_take_longer_while_upstreams_shed() {
+    let (ms, start) = (Duration::from_millis, Instant::now());
+    let call = room::Call { latest_on_time_start: start + ms(700), ahead: 10, ..late_call(start) };
+    let service = full_service(start, ms(0));
+    (0..20).for_each(|_| service.record_end(start));
+    (0..20).for_each(|_| service.record_send(false, start));
+    assert_eq!(service.decide(&call, start), room::Decision::Search, "500 ms of 700");
+    (0..30).for_each(|_| service.record_send(true, start));
+    assert!(matches!(service.decide(&call, start), room::Decision::Wait(_)), "800 ms of 700");
+}
--- a/crates/basilhaven/tests/gateway/selection.rs
+++ b/crates/basilhaven/tests/gateway/selection.rs
@@ -79,6 +79,7 @@
         queue_until: now + ms(700),
         deadline: now + ms(800),
         target_at: now + ms(250),
+        arrived_at: now,
         age: None,
         baseline: ms(90),
         may_be_passed_on: false,
