--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -7,7 +7,7 @@
 
 use crate::gateway::moves::evidence;
 use crate::gateway::{
-    attempt, balancer, forward, frontend, history, memory, notify, queue, route, upstream,
+    attempt, balancer, forward, frontend, history, memory, notify, queue, retries, route, upstream,
 };
 use crate::profile;
 
@@ -160,12 +160,11 @@
         reply: None,
         retry_after: RETRY_AFTER,
     };
+    let arrived_at = started.checked_sub(elapsed).unwrap_or(started);
     let min_time = route.latency_target.mul_f64(MIN_TIME_SHARE);
     while progress.attempts < task.max_attempts() && progress.failed_connects < MAX_FAILED_CONNECTS
     {
-        if progress.attempts > 0
-            && !queue.retries.try_spend(Instant::now(), frontend.retry_allowance())
-        {
+        if progress.attempts > 0 && !run.try_spend_retry() {
             break;
         }
         // A host of an earlier build would not know that the call may have been sent before.
@@ -177,7 +176,8 @@
             tried_upstreams: progress.sends.upstreams(),
             queue_until: call.deadline.checked_sub(min_time).unwrap_or(call.deadline),
             deadline: call.deadline,
-            target_at: started.checked_sub(elapsed).unwrap_or(started) + route.latency_target,
+            target_at: arrived_at + route.latency_target,
+            arrived_at,
             age,
             baseline: queue.baseline(route),
             may_be_passed_on,
@@ -220,6 +220,22 @@
 }
 
 impl Run<'_> {
+    /// Takes a retry from this host's share of the budget; returns whether one was left for a call of
+    /// this rank. A call that has missed its latency target has the lowest rank.
+    fn try_spend_retry(&self) -> bool {
+        let now = Instant::now();
+        let rank = match self.started.elapsed() < self.task.route.latency_target {
+            true => self.queue.room.rank(self.task.route.priority, now),
+            false => retries::LOWEST_RANK,
+        };
+        let is_allowed = self.queue.retries.try_spend(now, self.frontend.retry_allowance(), rank);
+        if !is_allowed {
+            metrics::counter!("basilhaven_retries_denied_total", "rank" => rank.to_string())
+                .increment(1);
+        }
+        is_allowed
+    }
+
     /// Sends the call to an upstream.
     async fn attempt(&self, permit: balancer::Permit, progress: &mut Progress) -> ControlFlow<()> {
         let (frontend, table) = (self.frontend, self.table);
@@ -240,6 +256,10 @@
         let is_repeatable = call.idempotency == profile::Idempotency::Idempotent;
         let mut may_continue = true;
         let mut weight = FAILURE_WEIGHT;
+        if !matches!(outcome, attempt::Outcome::NotRun(attempt::Cause::Connect)) {
+            let is_shed = matches!(outcome, attempt::Outcome::NotRun(attempt::Cause::Shed));
+            self.queue.room.record_send(is_shed, now);
+        }
         match outcome {
             attempt::Outcome::Answered(response) => {
                 progress.attempts += 1;
@@ -258,7 +278,8 @@
                 progress.attempts += 1;
                 progress.retry_after = RETRY_AFTER_SHED;
                 if cause == attempt::Cause::Shed {
-                    weight = SHED_WEIGHT;
+                    // Where all upstreams shed a share of their calls, a shed tells less of the one.
+                    weight = SHED_WEIGHT * (1.0 - self.queue.room.shed_share(now));
                 }
             }
             attempt::Outcome::Unknown(_) => {
@@ -340,11 +361,18 @@
 
     /// Gives up on the call because of a refusal.
     fn refuse(&self, refusal: balancer::Refusal, progress: &mut Progress) -> ControlFlow<()> {
-        if let balancer::Refusal::RateLimited { retry_after: Some(time) }
-        | balancer::Refusal::Paused { retry_after: time }
-        | balancer::Refusal::TooLate { retry_after: time } = refusal
-        {
-            progress.retry_after = time;
+        match refusal {
+            balancer::Refusal::RateLimited { retry_after: Some(time) }
+            | balancer::Refusal::Paused { retry_after: time }
+            | balancer::Refusal::TooLate { retry_after: time } => progress.retry_after = time,
+            balancer::Refusal::NoCapacity | balancer::Refusal::Reserved => {
+                let now = Instant::now();
+                let left = self.task.call.deadline.saturating_duration_since(now);
+                progress.retry_after = self.queue.room.retry_after(self.queue.len(), left, now);
+            }
+            balancer::Refusal::NoUpstream
+            | balancer::Refusal::Unreachable
+            | balancer::Refusal::RateLimited { retry_after: None } => {}
         }
         self.log_refusal(refusal, progress);
         flow(false)
--- a/crates/basilhaven/src/gateway/room.rs
+++ b/crates/basilhaven/src/gateway/room.rs
@@ -58,10 +58,20 @@
 /// Calls that must have ended within the window for their rate to be known.
 const MIN_ENDED: f64 = 3.0;
 
+/// Time constant of the counts of sends and sheds.
+const SHED_WINDOW: Duration = Duration::from_secs(5);
+
+/// Sends within the window from which the shed share is computed.
+const MIN_SENDS: f64 = 10.0;
+
 /// The part of a caller's remaining time up to which callers honour `Retry-After`.
 const HONOURED_SHARE: u32 = 3;
 
-/// The least time after which a refused caller is told to retry.
+/// The part of the time until a retry over which retries are spread.
+const RETRY_SPREAD: f64 = 0.5;
+
+/// The least time after which a refused caller is told to retry, before the spread. A caller that
+/// has too little time for it is told a third of its time.
 pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// What an upstream has reported, updated by the calls that this host has sent since.
@@ -249,6 +259,9 @@
     scarce_since: Cell<Option<Instant>>,
     /// Calls of this host that have ended.
     ended: Decayed,
+    /// Recent sends of this host, and those that upstreams shed.
+    sends: Decayed,
+    sheds: Decayed,
     /// The recent calls by priority.
     kinds: RefCell<BTreeMap<u32, Kind>>,
     /// The starved priorities as of the last observation.
@@ -261,6 +274,8 @@
             observation: Cell::default(),
             scarce_since: Cell::default(),
             ended: Decayed::new(RATE_WINDOW),
+            sends: Decayed::new(SHED_WINDOW),
+            sheds: Decayed::new(SHED_WINDOW),
             kinds: RefCell::default(),
             starved: RefCell::default(),
         }
@@ -309,6 +324,24 @@
         self.ended.increment(now);
     }
 
+    /// Records that a call was sent, and whether the upstream shed it.
+    pub fn record_send(&self, is_shed: bool, now: Instant) {
+        self.sends.increment(now);
+        if is_shed {
+            self.sheds.increment(now);
+        }
+    }
+
+    /// Returns the share of this host's sends that the upstreams shed; 0 if too few are known.
+    pub fn shed_share(&self, now: Instant) -> f64 {
+        let sends = self.sends.value(now);
+        if sends >= MIN_SENDS {
+            self.sheds.value(now) / sends
+        } else {
+            0.0
+        }
+    }
+
     /// Records that a call of this priority has begun to wait.
     pub fn record_arrival(&self, priority: u32, now: Instant) {
         let mut kinds = self.kinds.borrow_mut();
@@ -345,12 +378,15 @@
         counts.iter().filter(is_starved).map(|&(priority, ..)| priority).collect()
     }
 
+    /// Returns the rank of a priority among those of the service's recent calls; 0 is the highest.
+    pub fn rank(&self, priority: u32, now: Instant) -> usize {
+        let is_recent = |kind: &Kind| now.saturating_duration_since(kind.arrived_at) < KIND_WINDOW;
+        self.kinds.borrow().range(..priority).filter(|(_, kind)| is_recent(kind)).count()
+    }
+
     /// Returns the free share up to which timely calls of a priority are held back.
     fn reserve(&self, priority: u32, now: Instant) -> f64 {
-        let is_recent = |kind: &Kind| now.saturating_duration_since(kind.arrived_at) < KIND_WINDOW;
-        let kinds = self.kinds.borrow();
-        let rank = kinds.range(..priority).filter(|(_, kind)| is_recent(kind)).count();
-        RANK_RESERVES[rank.min(RANK_RESERVES.len() - 1)]
+        RANK_RESERVES[self.rank(priority, now).min(RANK_RESERVES.len() - 1)]
     }
 
     /// Returns the share of the slots that are free, as recent load reports show it; `None` without
@@ -368,10 +404,10 @@
     }
 
     /// Returns how long this host needs to place `ahead` calls while no room is idle; `None` if that
-    /// is unknown.
+    /// is unknown. A call that is shed is sent once more.
     fn backlog(&self, ahead: usize, now: Instant) -> Option<Duration> {
         let ended = self.ended.value(now);
-        let per_call = RATE_WINDOW.as_secs_f64() / ended;
+        let per_call = RATE_WINDOW.as_secs_f64() / ended * (1.0 + self.shed_share(now));
         (ended >= MIN_ENDED).then(|| Duration::from_secs_f64(per_call * ahead as f64))
     }
 
@@ -381,6 +417,19 @@
         self.scarce_since.get().map(|since| now.saturating_duration_since(since))
     }
 
+    /// Returns when the caller of a refused call with `ahead` calls ahead of it should retry, if it
+    /// waits for another `left`.
+    ///
+    /// The time is that until there will probably be room: scarcity is expected to last as long
+    /// again as it has lasted, and the calls ahead go first. It is no longer than callers honour,
+    /// and spread, so that callers that are refused together do not return together.
+    pub fn retry_after(&self, ahead: usize, left: Duration, now: Instant) -> Duration {
+        let Some(scarcity) = self.scarcity(now) else { return MIN_RETRY_AFTER };
+        let until_room = scarcity.max(self.backlog(ahead, now).unwrap_or_default());
+        let longest = until_room.max(MIN_RETRY_AFTER).min(left / HONOURED_SHARE);
+        longest.mul_f64(1.0 - RETRY_SPREAD * fastrand::f64())
+    }
+
     /// Decides what a waiting call does next.
     ///
     /// A call that can still be in time searches in its turn while more slots are free than are
@@ -398,17 +447,16 @@
         }
         let backlog = self.backlog(call.ahead, now).unwrap_or_default();
         if now + backlog <= call.latest_on_time_start {
-            let is_held =
-                self.free_share(now).is_some_and(|free| free <= self.reserve(call.priority, now));
+            let reserve = self.reserve(call.priority, now);
+            let is_held = reserve > 0.0 && self.free_share(now).is_some_and(|free| free <= reserve);
             return if is_held { Decision::Wait(HOLD_INTERVAL) } else { Decision::Search };
         }
         let left = call.queue_until.saturating_duration_since(now);
         if !call.is_age_known || scarcity < left.max(MIN_SCARCITY) {
             return Decision::Wait(HOLD_INTERVAL.min(left));
         }
-        // Scarcity is expected to last as long again as it has lasted.
-        let honoured = call.deadline.saturating_duration_since(now) / HONOURED_SHARE;
-        let retry_after = scarcity.max(backlog).min(honoured).max(MIN_RETRY_AFTER);
+        let left = call.deadline.saturating_duration_since(now);
+        let retry_after = self.retry_after(call.ahead, left, now);
         Decision::Refuse { retry_after }
     }
 }
--- a/crates/basilhaven/tests/gateway/room.rs
+++ b/crates/basilhaven/tests/gateway/room.rs
@@ -5,7 +5,9 @@
 use std::collections::BinaryHeap;
 use std::time::{Duration, Instant};
 
-use basilhaven::gateway::room;
+use basilhaven::gateway::{balancer, room, selection};
+
+use crate::{load, upstream};
 
 /// Upstreams have three slots, as those of the users' platform.
 const SLOTS: u32 = 3;
@@ -162,7 +164,9 @@
         let rank = |call: &Call| self.load.kinds[call.kind].priority;
         let is_starved =
             |call: &Call| rule == Rule::Room && self.hosts[host].room.is_starved(rank(call));
-        waiting.sort_by_key(|call| (!is_starved(call), is_late(call), rank(call), call.number));
+        waiting.sort_by_key(|call| {
+            (!is_starved(call), is_late(call), rank(call), call.seen_born, call.number)
+        });
         let own = &self.hosts[host];
         let reports = own.reports.iter().flatten().map(|&(occupancy, at)| {
             let age = Duration::from_millis(now - at);
@@ -203,7 +207,16 @@
             }
             match self.at(now) < seen.queue_until {
                 true => kept.push(call),
-                false => self.refuse(call, host, room::MIN_RETRY_AFTER, now),
+                false => {
+                    let left = seen.deadline.saturating_duration_since(self.at(now));
+                    let retry_after = match rule {
+                        Rule::SearchUntilDeadline => room::MIN_RETRY_AFTER,
+                        Rule::Room => {
+                            self.hosts[host].room.retry_after(kept.len(), left, self.at(now))
+                        }
+                    };
+                    self.refuse(call, host, retry_after, now);
+                }
             }
         }
         self.hosts[host].waiting = kept;
@@ -385,6 +398,39 @@
     assert!(retry_after <= ms(800) / 3, "callers honour a third of their time: {retry_after:?}");
 }
 
+/// Guards against callers that all return at the same moment, or are told more than they honour.
+#[test]
+fn retry_after_is_spread_and_no_longer_than_callers_honour() {
+    let ms = Duration::from_millis;
+    fastrand::seed(5);
+    let start = Instant::now();
+    let service = full_service(start, ms(900));
+    let now = start + ms(900);
+    let times: Vec<_> = (0..200).map(|_| service.retry_after(0, ms(1500), now)).collect();
+    assert!(times.iter().all(|time| (ms(250)..=ms(500)).contains(time)), "{times:?}");
+    for from in [250, 300, 350, 400, 450] {
+        let slice = times.iter().filter(|&time| (ms(from)..ms(from + 50)).contains(time)).count();
+        assert!((20..=60).contains(&slice), "{slice} of 200 from {from} ms on");
+    }
+    assert!(service.retry_after(0, ms(90), now) <= ms(30));
+    let unknown = room::Service::default().retry_after(9, ms(90), now);
+    assert_eq!(unknown, room::MIN_RETRY_AFTER, "nothing is known");
+}
+
+/// Guards against a `Retry-After` that does not count the calls ahead: the caller would return into
+/// the same queue.
+#[test]
+fn retry_after_grows_with_the_calls_ahead() {
+    let ms = Duration::from_millis;
+    fastrand::seed(5);
+    let start = Instant::now();
+    let service = full_service(start, Duration::ZERO);
+    (0..20).for_each(|_| service.record_end(start));
+    let mean =
+        |ahead| (0..100).map(|_| service.retry_after(ahead, ms(9000), start)).sum::<Duration>();
+    assert!(mean(40) > mean(20).mul_f64(1.5) && mean(20) > mean(0).mul_f64(1.5));
+}
+
 /// Guards against hosts that hold calls back by what was known a while ago, or by too few reports.
 #[test]
 fn a_late_call_searches_while_nothing_is_known_of_the_room() {
@@ -412,3 +458,60 @@
     assert_eq!(deadlines.record(ms(1200), now), Some(ms(800)));
     assert_eq!(deadlines.record(ms(9000), now), Some(ms(0)));
 }
+
+/// Returns how many of 32 upstreams a new lookup accepts while idle, after a minute of 25 calls a
+/// second of which each upstream sheds 0.55.
+fn accepted_upstreams(learns_share: bool) -> usize {
+    fastrand::seed(6);
+    let (ms, start) = (Duration::from_millis, Instant::now());
+    let service = room::Service::default();
+    let upstreams: Vec<_> =
+        (0..32).map(|id| upstream(&format!("i-{id}"), "v1", "a", start)).collect();
+    let mut now = start;
+    for _ in 0..1500 {
+        now += ms(40);
+        let is_shed = fastrand::f64() < 0.55;
+        service.record_send(is_shed, now);
+        let one = fastrand::choice(&upstreams).expect("an upstream");
+        match is_shed {
+            true if learns_share => one.record_failure(now, 0.5 * (1.0 - service.shed_share(now))),
+            true => one.record_failure(now, 0.5),
+            false => one.record_success(now),
+        }
+    }
+    upstreams.iter().for_each(|one| one.record_report(load(0, 1.0), now));
+    let lookup = balancer::Requirements {
+        service: &"catalogo".into(),
+        priority: 0,
+        tried_upstreams: &[],
+        queue_until: now + ms(1900),
+        deadline: now + ms(2000),
+        target_at: now + ms(500),
+        arrived_at: now,
+        age: None,
+        baseline: ms(220),
+        may_be_passed_on: false,
+    };
+    upstreams.iter().filter(|one| lookup.accepts(selection::cost(one, "a", now), now)).count()
+}
+
+/// Guards against calls that wait beside free slots because every upstream has shed calls of late.
+#[test]
+fn upstreams_that_all_shed_a_share_of_their_calls_are_still_used() {
+    let (before, after) = (accepted_upstreams(false), accepted_upstreams(true));
+    assert!(before < 32, "the load keeps calls from no upstream");
+    assert!(after > before, "{before} {after}");
+}
+
+/// Guards against a backlog that leaves out the sends that upstreams shed.
+#[test]
+fn the_calls_ahead_take_longer_while_upstreams_shed() {
+    let (ms, start) = (Duration::from_millis, Instant::now());
+    let call = room::Call { latest_on_time_start: start + ms(700), ahead: 10, ..late_call(start) };
+    let service = full_service(start, ms(0));
+    (0..20).for_each(|_| service.record_end(start));
+    (0..20).for_each(|_| service.record_send(false, start));
+    assert_eq!(service.decide(&call, start), room::Decision::Search, "500 ms of 700");
+    (0..30).for_each(|_| service.record_send(true, start));
+    assert!(matches!(service.decide(&call, start), room::Decision::Wait(_)), "800 ms of 700");
+}
