Test organisations beside hosts of an earlier build, and wait for log lines

Cause: no test covered a host that follows one of an earlier build, which relays configurations without organisations. Three of the new tests could fail by chance: two read the log before its lines were written, one started a host on the port of a killed process that had not ended yet.

Change: a test in the place of such a host relays a version without organisations. The host must take the organisations of the same version from the store, send them to its own followers, and take no later version without them. Tests wait for the log lines and for the end of the process.

Result: the new test fails if any one of these three is taken out of the code.

--- a/crates/basilhaven-bench/tests/gateway/access.rs
+++ b/crates/basilhaven-bench/tests/gateway/access.rs
@@ -1,20 +1,25 @@
 //! Checks that keys decide which callers are served, that upstreams get the name of the caller's
 //! organisation and never its key, and that changes of keys take effect on all hosts.
 
-use std::io::{Read as _, Write as _};
-use std::net::TcpStream;
+use std::io::{self, Read as _, Write as _};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use basilhaven::gateway::store::{Change, Feed, Revision};
+use basilhaven::gateway::cluster::{datagram, Members, Record, State};
+use basilhaven::gateway::config::Sighting;
+use basilhaven::gateway::store::{Change, Era, Feed, Revision};
 use basilhaven::gateway::{access, relay};
 use basilhaven_bench::gateway::Response;
 use basilhaven_bench::process::Signal;
 use basilhaven_bench::soak::links::Links;
 use basilhaven_bench::soak::proxy::{Link, Proxy};
 use basilhaven_bench::standin::block_on;
-use basilhaven_bench::standin::users::store::Store;
+use basilhaven_bench::standin::users::store::{Mode, Store};
 use basilhaven_bench::standin::users::upstream::{Behaviour, Upstream};
 use basilhaven_bench::standin::users::Request;
+use basilhaven_platform::rows;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
@@ -100,6 +105,11 @@
     assert!(leak.is_none(), "a key is in the log: {leak:?}");
 }
 
+/// Returns the first line of a host's log with this event on this call.
+fn line_of(host: &Host, event: &str, id: &str) -> Option<Value> {
+    host.process.lines().into_iter().find(|line| line["event"] == event && line["id"] == id)
+}
+
 async fn apply(host: &Host, store: &Store, version: u64, config: &str) {
     store.put("op", "config", config);
     wait_until("the version is in force", || has_version(host, version)).await;
@@ -277,6 +287,10 @@
         for text in ["secret-0", "secret-4", "7", ""] {
             assert_eq!(call(&fixture.host, "/safe/1", "id", &key(text)).status, 401, "{text}");
         }
+        wait_until("the entries are logged", || {
+            fixture.host.process.event_count("config_entry_skipped") >= 6
+        })
+        .await;
         let lines = fixture.host.process.lines();
         let skipped = lines.iter().filter(|line| line["event"] == "config_entry_skipped");
         let skipped: Vec<&str> = skipped.filter_map(|line| line["finding"].as_str()).collect();
@@ -312,7 +326,8 @@
         assert_eq!(attempts[0].header(ORGANISATION), Some("own-2"));
         let is_off =
             |line: &Value| line["event"] == "feature_off" && line["feature"] == "organisations";
-        assert_eq!(fixture.host.process.lines().iter().filter(|line| is_off(line)).count(), 1);
+        let count = || fixture.host.process.lines().iter().filter(|line| is_off(line)).count();
+        wait_until("the host logs that organisations are off", || count() == 1).await;
     });
 }
 
@@ -400,20 +415,18 @@
         ];
         for (number, (path, key, status, expected)) in cases.iter().enumerate() {
             let id = format!("id-passed-{number}");
-            let before = host.process.event_count("passed_on");
             let response = call(host, path, &id, &format!("{forged}{key}"));
             assert_eq!(response.status, *status, "{path} {key}");
             let attempts = usize::from(*status == 200);
             check_attempts(&system.upstreams, &id, attempts, *expected);
-            wait_until("the log is written", || {
-                host.process.event_count("passed_on") == before + attempts
-            })
-            .await;
+            if attempts > 0 {
+                let passed_on = || line_of(host, "passed_on", &id).is_some();
+                wait_until("the call is logged as passed on", passed_on).await;
+            }
         }
-        wait_until("the log is written", || system.hosts[1].process.event_count("sent") >= 4).await;
-        let lines = system.hosts[1].process.lines();
-        let sent = lines.iter().find(|line| line["event"] == "sent" && line["id"] == "id-passed-0");
-        assert_eq!(sent.expect("a line")["organisation"], "vopu11");
+        let sent = || line_of(&system.hosts[1], "sent", "id-passed-0");
+        wait_until("the other host logs the call", || sent().is_some()).await;
+        assert_eq!(sent().expect("a line")["organisation"], "vopu11");
         system.hosts.iter().for_each(check_log);
     });
 }
@@ -458,7 +471,7 @@
 #[test]
 fn hosts_that_follow_others_get_the_keys_and_their_changes_in_time() {
     block_on(async {
-        let system = System::start(173, 4).await;
+        let mut system = System::start(173, 4).await;
         wait_until("some hosts follow others", || {
             system.hosts.iter().any(|host| !host.watches_store())
         })
@@ -487,6 +500,7 @@
         }
         // A host that starts gets them from the hosts that are ready, and not from the store.
         system.hosts[3].process.signal(Signal::Kill);
+        system.hosts[3].process.wait(Duration::from_secs(10)).await;
         let started = system.network.start(&system.store, 3).await;
         wait_until("the host is ready", || started.is_ready()).await;
         assert_eq!(call(&started, "/safe/1", "id-s1", &key("secret-1")).status, 401);
@@ -504,27 +518,187 @@
     Calls,
 }
 
+/// Follows the first host of a network.
+fn follow(network: &Network) -> TcpStream {
+    let mut stream = TcpStream::connect((network.ips[0], network.port)).expect("a connection");
+    stream.set_read_timeout(Some(Duration::from_secs(5))).expect("an open socket");
+    let known = Message::Known(Default::default());
+    write(&mut stream, &known, vec![Era::from(1); 2]).expect("a connection");
+    stream
+}
+
+/// Returns the next update of orders that a followed host sends.
+fn next_orders(stream: &mut TcpStream) -> Vec<u8> {
+    loop {
+        let mut len = [0; 4];
+        stream.read_exact(&mut len).expect("a message");
+        let mut message = vec![0; u32::from_le_bytes(len) as usize];
+        stream.read_exact(&mut message).expect("a message");
+        let decoded = postcard::from_bytes(&message).expect("a message");
+        if matches!(decoded, Message::Update { feed: Feed::Orders, .. }) {
+            return message;
+        }
+    }
+}
+
+/// Returns the organisations that are appended to an update: whether they are known, by
+/// configuration.
+fn appended(message: &[u8]) -> Vec<bool> {
+    let (message, rest) = postcard::take_from_bytes::<Message>(message).expect("a message");
+    let (_, rest) = postcard::take_from_bytes::<Eras>(rest).expect("eras");
+    let parts: Vec<access::Appendix> = postcard::from_bytes(rest).expect("organisations");
+    let Message::Update { items, .. } = message else { panic!("not an update") };
+    let tables = items.into_iter().filter_map(|item| match item {
+        Change::Config(table) => Some(table),
+        _ => None,
+    });
+    let completed = tables.zip(parts).map(|(table, part)| {
+        let mut table = (*table).clone();
+        part.complete(&mut table);
+        table.directory.is_known()
+    });
+    completed.collect()
+}
+
 // Guards against messages that followers of earlier builds cannot read.
 #[test]
 fn a_follower_of_an_earlier_build_gets_the_configuration_without_organisations() {
     block_on(async {
         let system = System::start(174, 1).await;
-        let mut stream = TcpStream::connect((system.network.ips[0], system.network.port)).unwrap();
-        stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
-        let known = postcard::to_stdvec(&Message::Known(Default::default())).unwrap();
-        stream.write_all(&(known.len() as u32).to_le_bytes()).unwrap();
-        stream.write_all(&known).unwrap();
-        let mut len = [0; 4];
-        stream.read_exact(&mut len).unwrap();
-        let mut message = vec![0; u32::from_le_bytes(len) as usize];
-        stream.read_exact(&mut message).unwrap();
+        let mut stream = follow(&system.network);
+        let message = next_orders(&mut stream);
         assert!(!String::from_utf8_lossy(&message).contains(KEY_PREFIX));
-        let Ok(Message::Update { feed: Feed::Orders, items, .. }) = postcard::from_bytes(&message)
-        else {
-            panic!("not an update of orders");
-        };
+        let Ok(Message::Update { items, .. }) = postcard::from_bytes(&message) else { panic!() };
         let [Change::Config(table)] = &items[..] else { panic!("{items:?}") };
         let route = table.find("shop.example", "/safe/1").expect("a route");
         assert_eq!(table.directory.check(route, None), access::Decision::Allowed(None));
     });
 }
+
+/// The eras that builds without organisations append to a message.
+#[derive(Debug, Serialize, Deserialize)]
+struct Eras {
+    revisions: Vec<Era>,
+    orders: Vec<Era>,
+    config: Sighting,
+}
+
+/// A host of an earlier build, which says that it is ready and relays a configuration.
+struct EarlierHost {
+    /// The version of the configuration that it relays.
+    version: Arc<AtomicU64>,
+    /// The upstream that it relays.
+    upstream: Upstream,
+}
+
+impl EarlierHost {
+    /// Starts to serve followers, and to send heartbeats to another host.
+    fn start(own: SocketAddr, other: SocketAddr, upstream: &Upstream) -> Arc<EarlierHost> {
+        let version = Arc::new(AtomicU64::new(1));
+        let host = Arc::new(EarlierHost { version, upstream: upstream.clone() });
+        let listener = TcpListener::bind(own).expect("a free port");
+        let served = Arc::clone(&host);
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                // The follower ends the connection.
+                let _ = served.serve_follower(stream);
+            }
+        });
+        std::thread::spawn(move || {
+            let socket = UdpSocket::bind(own).expect("a free port");
+            let record = Record { peer: own, callers: own, data_centre: "a".into() };
+            let members = Members::new(&record, 1, Instant::now());
+            members.set_state(State::Ready);
+            loop {
+                let (heartbeats, _) = members.next_heartbeat(Instant::now());
+                let frame = datagram::Frame::Heartbeats(heartbeats, Vec::new());
+                let bytes = datagram::encode(&frame).expect("plain data");
+                // The other host listens only once it has started.
+                let _ = socket.send_to(&bytes, other);
+                std::thread::sleep(Duration::from_millis(50));
+            }
+        });
+        host
+    }
+
+    fn serve_follower(&self, mut stream: TcpStream) -> io::Result<()> {
+        let mut len = [0; 4];
+        stream.read_exact(&mut len)?;
+        stream.read_exact(&mut vec![0; u32::from_le_bytes(len) as usize])?;
+        let version = self.version.load(Ordering::SeqCst);
+        let row = |key: &str, value: String| rows::Row {
+            key: key.into(),
+            value: Some(value.into_bytes()),
+            revision: version,
+            is_removed: false,
+        };
+        let config = row("config", config_with(version, two_organisations()));
+        let entry = row(&self.upstream.id, self.upstream.entry(SERVICE, "v1", "ready"));
+        for (feed, row) in [(Feed::Orders, config), (Feed::Upstreams, entry)] {
+            let items = vec![rows::parse_change(feed, Ok(row), Era::from(1)).expect("a change")];
+            // The store has this number for version 1.
+            let revision = Revision { era: Era::from(1), number: version + 2 };
+            let update = Message::Update { feed, is_snapshot: true, revision, items };
+            write(&mut stream, &update, vec![Era::from(1)])?;
+        }
+        loop {
+            write(&mut stream, &Message::Staleness([0; 2]), Vec::new())?;
+            std::thread::sleep(Duration::from_millis(300));
+        }
+    }
+}
+
+/// Sends a message as builds without organisations do.
+fn write(stream: &mut TcpStream, message: &Message, revisions: Vec<Era>) -> io::Result<()> {
+    let eras = Eras { revisions, orders: Vec::new(), config: Sighting::default() };
+    let mut bytes = postcard::to_stdvec(message).expect("plain data");
+    bytes.extend(postcard::to_stdvec(&eras).expect("plain data"));
+    stream.write_all(&(bytes.len() as u32).to_le_bytes())?;
+    stream.write_all(&bytes)
+}
+
+// Guards against a host that serves everybody until the next version because it has followed a host
+// of an earlier build, and against one that loses its organisations in that way.
+#[test]
+fn a_host_that_follows_one_of_an_earlier_build_gets_and_keeps_the_organisations() {
+    block_on(async {
+        let store = Store::start();
+        store.put("op", "config", &config_with(1, two_organisations()));
+        let upstream = Upstream::start("i-0", PROMPT);
+        store.put("servers", &upstream.id, &upstream.entry(SERVICE, "v1", "ready"));
+        store.set_mode(Mode::Down);
+        let network = Network::new(175, 2);
+        let address = |ip: Ipv4Addr| SocketAddr::from((ip, network.port));
+        let earlier =
+            EarlierHost::start(address(network.ips[1]), address(network.ips[0]), &upstream);
+        let host = network.start(&store, 0).await;
+        wait_until("the host is ready", || host.is_ready()).await;
+        wait_until("the host logs that it knows no organisations", || {
+            host.process.event_count("organisations_unknown") == 1
+        })
+        .await;
+        assert_eq!(call(&host, "/safe/1", "id-1", &key("secret-9")).status, 200);
+        let mut follower = follow(&network);
+        assert_eq!(appended(&next_orders(&mut follower)), [false]);
+
+        store.set_mode(Mode::Up);
+        wait_until("the host watches the store", || host.watches_store()).await;
+        let is_refused = || call(&host, "/safe/1", "id-2", &key("secret-9")).status == 401;
+        wait_until("the host has the organisations", is_refused).await;
+        assert_eq!(call(&host, "/safe/1", "id-3", &key("secret-1")).status, 200);
+        check_attempts(std::slice::from_ref(&upstream), "id-3", 1, Some("kaje80"));
+        // The revision is the same as before.
+        assert_eq!(appended(&next_orders(&mut follower)), [true]);
+
+        earlier.version.store(2, Ordering::SeqCst);
+        store.set_mode(Mode::Down);
+        let is_rejected = |line: &Value| line.to_string().contains("relays no organisations");
+        wait_until("the host does not take the later version", || {
+            host.process.lines().iter().any(is_rejected)
+        })
+        .await;
+        assert!(is_refused());
+        assert!(!has_version(&host, 2));
+        check_log(&host);
+    });
+}
--- a/crates/basilhaven/src/gateway/relay.rs
+++ b/crates/basilhaven/src/gateway/relay.rs
@@ -221,7 +221,7 @@
         known.era =
             eras.as_ref().map_or(own, |eras| eras.revisions.get(number).map_or(own, |e| *e));
     }
-    // Whether this host has learned the organisations only after it has sent the configuration.
+    // Whether the configuration was last sent without its organisations.
     let mut lacks_organisations = false;
     loop {
         let seen = replica.change_counts();
