Shape the transfer of large bodies to a part of the link

In a burst of uploads the links of 10 Mbit/s were full for tens of milliseconds at a time. Probes timed out after 50 ms behind the bodies, hosts took services for lost (52 times in two seconds) and passed calls on, bodies included, over the same links.

Bodies beyond 8 kB are received and sent in pieces at 0.6 of the link's bandwidth while other calls are in progress, if the settings give the bandwidth.

The test fails without shaping.

--- a/crates/basilhaven/src/gateway/attempt.rs
+++ b/crates/basilhaven/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use http::header::{self, HeaderMap, HeaderValue};
 
-use super::{history, protocol, upstream};
+use super::{history, protocol, shaper, upstream};
 use crate::http1::{self, body, head};
 use crate::profile;
 
@@ -123,12 +123,13 @@
 }
 
 /// Sends a call to an upstream and waits for the response. `sends` are the earlier attempts of the
-/// call.
+/// call; `outbound` shapes the body.
 pub async fn send(
     call: &Call,
     upstream: &upstream::Upstream,
     protocol: &protocol::Protocol,
     sends: &history::Sends,
+    outbound: Option<&shaper::Shaper>,
 ) -> Outcome {
     let opened = timeout_at(call.deadline, connect(call, upstream, sends)).await;
     let mut conn = match opened {
@@ -140,7 +141,7 @@
         }
         Err(_) => return Outcome::NotRun(Cause::Timeout),
     };
-    let exchange = exchange(call, upstream, protocol, &mut conn);
+    let exchange = exchange(call, upstream, protocol, &mut conn, outbound);
     let received = match timeout_at(call.deadline, exchange).await {
         Ok(received) => received,
         Err(_) => return Outcome::Unknown(Cause::Timeout),
@@ -222,9 +223,13 @@
     upstream: &upstream::Upstream,
     protocol: &protocol::Protocol,
     conn: &mut http1::Conn,
+    outbound: Option<&shaper::Shaper>,
 ) -> Result<Received, http1::Error> {
     let mut unsent = encode(call, upstream, &protocol.headers);
     conn.write(unsent.take_first()).await?;
+    if let Some(outbound) = outbound {
+        outbound.send(conn, &mut unsent).await?;
+    }
     let mut mismatched = 0;
     loop {
         let response =
--- a/crates/basilhaven/src/gateway/forward.rs
+++ b/crates/basilhaven/src/gateway/forward.rs
@@ -13,7 +13,7 @@
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use indexmap::IndexMap;
 
-use super::{attempt, cluster, history, notify, protocol, relay};
+use super::{attempt, cluster, history, notify, protocol, relay, shaper};
 use crate::http1::{self, body, head};
 use crate::profile;
 
@@ -327,13 +327,14 @@
         terms: &Terms,
         host: SocketAddr,
         caller_left: &notify::Notifier,
+        outbound: Option<&shaper::Shaper>,
     ) -> Outcome {
         let peer = Rc::clone(self.peers.borrow_mut().entry(host).or_default());
         let _progress = Progress::new(&peer);
         let sent = {
             let exchange = std::pin::pin!(attempt::timeout_at(
                 call.deadline,
-                self.exchange(call, terms, host, &peer),
+                self.exchange(call, terms, host, &peer, outbound),
             ));
             let left = std::pin::pin!(caller_left.wait(0));
             match future::select(exchange, left).await {
@@ -361,6 +362,7 @@
         terms: &Terms,
         host: SocketAddr,
         peer: &Peer,
+        outbound: Option<&shaper::Shaper>,
     ) -> Result<Outcome, http1::Error> {
         let mut conn = match connect(call, host, peer).await {
             Ok(conn) => conn,
@@ -378,6 +380,9 @@
         terms.write(&mut headers);
         let mut unsent = attempt::encode_request(call, &headers);
         conn.write(unsent.take_first()).await?;
+        if let Some(outbound) = outbound {
+            outbound.send(&mut conn, &mut unsent).await?;
+        }
         let (method, max_len) = (&call.parts.method, attempt::MAX_HEAD_LEN);
         let mut response = conn.send_and_read_response(&mut unsent, method, max_len).await?;
         let mut reader = body::Reader::new(response.framing);
--- a/crates/basilhaven/src/gateway/frontend.rs
+++ b/crates/basilhaven/src/gateway/frontend.rs
@@ -12,7 +12,7 @@
 
 use super::{
     access, attempt, balancer, cluster, config, forward, memory, notify, protocol, relay, retries,
-    route,
+    route, shaper,
 };
 use crate::http1::{self, body, head};
 use crate::profile;
@@ -64,6 +64,10 @@
     pub memory: Rc<memory::Budget>,
     /// Header names and encodings that callers and upstreams use.
     pub protocol: protocol::Protocol,
+    /// Shapes the large bodies that are received.
+    pub inbound: shaper::Shaper,
+    /// Shapes the large bodies that are sent.
+    pub outbound: shaper::Shaper,
     /// The retry limit of all hosts together.
     pub retries: retries::Allowance,
     /// Number of callers' open connections.
@@ -77,6 +81,12 @@
 }
 
 impl Frontend {
+    /// Returns the shaper of the bodies that are sent; `None` while there is no other call that they
+    /// could delay.
+    fn outbound_shaper(&self) -> Option<&shaper::Shaper> {
+        (self.active_calls.get() > 1).then_some(&self.outbound)
+    }
+
     /// Returns how long the caller of a call waits from its arrival, if the call says so.
     fn remaining_time(&self, call: &attempt::Call) -> Option<Duration> {
         parse_timeout(&call.parts.headers, &self.protocol.headers)
@@ -348,7 +358,7 @@
     }
     let (purpose, phase) = (memory::Purpose::Body, memory::Phase::Receiving);
     let share = frontend.memory.share(purpose, phase, started);
-    let body = match read_body(conn, &request, limits, &share).await {
+    let body = match read_body(frontend, conn, &request, limits, &share).await {
         Ok(Body::Whole(body)) => body,
         Ok(Body::TooLarge) => {
             let status = http::StatusCode::PAYLOAD_TOO_LARGE;
@@ -607,6 +617,7 @@
 
 /// Reads the request body into memory that `share` counts.
 async fn read_body(
+    frontend: &Frontend,
     conn: &mut http1::Conn,
     request: &head::Request,
     limits: &route::Limits,
@@ -626,6 +637,9 @@
                 return Ok(Body::TooLarge);
             }
             share.record_received(piece.len(), Instant::now());
+            if collector.len() > shaper::UNSHAPED_LEN && frontend.active_calls.get() > 1 {
+                frontend.inbound.wait(piece.len()).await;
+            }
             while !piece.is_empty() {
                 if collector.is_full() {
                     let missing = reader.missing().map(|missing| missing + piece.len() as u64);
--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -244,7 +244,9 @@
         let sent_at = Instant::now();
         let outcome = match entered {
             Ok(_entered) => {
-                attempt::send(call, &permit.upstream, &frontend.protocol, &progress.sends).await
+                let outbound = frontend.outbound_shaper();
+                attempt::send(call, &permit.upstream, &frontend.protocol, &progress.sends, outbound)
+                    .await
             }
             Err(cause) => attempt::Outcome::NotRun(cause),
         };
@@ -335,7 +337,10 @@
         };
         progress.hosts += 1;
         let sent_at = Instant::now();
-        let outcome = self.frontend.forwarder.send(call, &terms, host, caller_left).await;
+        let outcome = {
+            let outbound = self.frontend.outbound_shaper();
+            self.frontend.forwarder.send(call, &terms, host, caller_left, outbound).await
+        };
         log_passed_on(call, route, self.service, host, &outcome, sent_at.elapsed());
         match outcome {
             forward::Outcome::Answered(response) => {
--- a/crates/basilhaven/src/gateway/mod.rs
+++ b/crates/basilhaven/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 pub mod run;
 pub mod selection;
 pub mod settings;
+pub mod shaper;
 pub mod store;
 pub mod updates;
 pub mod upstream;
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -16,7 +16,7 @@
 use super::cluster::datagram;
 use super::{
     balancer, cluster, coordinator, directory, forward, frontend, memory, probe, protocol, reach,
-    registry, relay, retries, settings, store, updates,
+    registry, relay, retries, settings, shaper, store, updates,
 };
 use crate::{daemon, finding, log};
 
@@ -211,6 +211,8 @@
         members: Rc::clone(&replica.members),
         memory: Rc::new(memory::Budget::new(settings.limits)),
         protocol,
+        inbound: shaper::Shaper::new(settings.link_mbps),
+        outbound: shaper::Shaper::new(settings.link_mbps),
         retries: retries::Allowance { ratio: settings.retry_ratio, slack: settings.retry_slack },
         open_connections: Cell::default(),
         active_calls: Cell::default(),
--- a/crates/basilhaven/src/gateway/settings.rs
+++ b/crates/basilhaven/src/gateway/settings.rs
@@ -98,6 +98,10 @@
     /// Descriptors of this process; without it connections are not limited
     #[bpaf(long, env("BASILHAVEN_MAX_FDS"), argument("N"), fallback(String::new()))]
     pub max_fds: String,
+    /// Bandwidth of this host's link, in megabits a second; without it, the transfer of large bodies
+    /// is not shaped
+    #[bpaf(long, env("BASILHAVEN_LINK_MBPS"), argument("N"), fallback(String::new()))]
+    pub link_mbps: String,
     /// Log level: error, warn, info or debug; every attempt is logged at info
     #[bpaf(long, env("BASILHAVEN_LOG"), argument("LEVEL"), fallback(String::new()))]
     pub log: String,
@@ -147,6 +151,9 @@
     pub capacity: u8,
     /// Limits on what is held for callers.
     pub limits: memory::Limits,
+    /// Bandwidth of this host's link, in megabits a second; `None` if the transfer of large bodies is
+    /// not shaped.
+    pub link_mbps: Option<f64>,
     /// Log level.
     pub log: crate::settings::Level,
 }
@@ -204,6 +211,7 @@
         let exposure_share = read_number(&mut findings, "--exposure-share", &raw.exposure_share);
         let memory_mb = read_number(&mut findings, "--memory-mb", &raw.memory_mb);
         let max_fds = read_number(&mut findings, "--max-fds", &raw.max_fds);
+        let link_mbps = read_number(&mut findings, "--link-mbps", &raw.link_mbps);
         let log = match raw.log.trim() {
             "" => Some(crate::settings::Level::default()),
             text => findings.ok_or_add("--log", crate::settings::Level::try_from(text)),
@@ -233,6 +241,7 @@
                     memory: memory_mb?.map(|mb| (mb * BYTES_PER_MB) as u64),
                     max_fds: max_fds?.map(|fds| fds as usize),
                 },
+                link_mbps: link_mbps?,
                 log: log?,
             })
         })();
--- a/crates/basilhaven/src/http1/body.rs
+++ b/crates/basilhaven/src/http1/body.rs
@@ -353,6 +353,31 @@
         self.blocks.pop_front().unwrap_or_default()
     }
 
+    /// Returns the number of bytes that are still to be written.
+    pub fn len(&self) -> usize {
+        self.blocks.iter().map(Bytes::len).sum()
+    }
+
+    /// Splits off the first `len` bytes, or everything if there is less.
+    pub fn split_to(&mut self, len: usize) -> Unsent {
+        let mut split = Unsent::default();
+        let mut missing = len;
+        while let Some(block) = self.blocks.front_mut().filter(|_| missing > 0) {
+            let piece = block.split_to(missing.min(block.len()));
+            missing -= piece.len();
+            split.blocks.push_back(piece);
+            if block.is_empty() {
+                self.blocks.pop_front();
+            }
+        }
+        split
+    }
+
+    /// Puts bytes that were split off before the others.
+    pub fn prepend(&mut self, split: Unsent) {
+        split.blocks.into_iter().rev().for_each(|block| self.blocks.push_front(block));
+    }
+
     pub(super) fn first_mut(&mut self) -> Option<&mut Bytes> {
         self.blocks.front_mut()
     }
--- a/crates/basilhaven/tests/gateway/main.rs
+++ b/crates/basilhaven/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod room;
 mod selection;
 mod settings;
+mod shaper;
 mod starts;
 mod updates;
 
--- a/crates/basilhaven/tests/gateway/settings.rs
+++ b/crates/basilhaven/tests/gateway/settings.rs
@@ -14,7 +14,7 @@
     ("--store", "127.0.0.1:0"),
 ];
 
-const OPTIONAL: [&str; 14] = [
+const OPTIONAL: [&str; 15] = [
     "--seeds",
     "--first-start",
     "--entry-ttl-s",
@@ -26,6 +26,7 @@
     "--probe-rate",
     "--heartbeat-s",
     "--cores",
+    "--link-mbps",
     "--log",
     "--memory-mb",
     "--max-fds",
