--- a/crates/basilhaven/src/gateway/frontend.rs
+++ b/crates/basilhaven/src/gateway/frontend.rs
@@ -327,13 +327,13 @@
         return unread.respond(conn, http::StatusCode::NOT_FOUND, persistence()).await;
     };
     if unread.exceeds(limits.max_body_len) {
+        log_too_long(frontend, &request, &route, limits);
         let status = http::StatusCode::PAYLOAD_TOO_LARGE;
         return unread.respond(conn, status, persistence()).await;
     }
     let deadline = deadline(frontend, &request, &route, started);
     if frontend.exit_at.get().is_some_and(|end| deadline + RESPONSE_MARGIN > end) {
-        let id = request.parts.headers.get(&frontend.protocol.headers.request_id);
-        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let id = id_text(frontend, &request);
         tracing::info!(event = "stopping_too_soon", id, route = &*route.name);
         return unread.refuse(frontend, conn, Persistence::Close, source).await;
     }
@@ -342,17 +342,16 @@
     let body = match read_body(conn, &request, limits, &share).await {
         Ok(Body::Whole(body)) => body,
         Ok(Body::TooLarge) => {
+            log_too_long(frontend, &request, &route, limits);
             let status = http::StatusCode::PAYLOAD_TOO_LARGE;
             return respond_empty(conn, status, Persistence::Close).await;
         }
         Ok(Body::NoMemory) => {
             drop(share);
             metrics::counter!("basilhaven_bodies_refused_total").increment(1);
-            let id = request.parts.headers.get(&frontend.protocol.headers.request_id);
-            let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
             tracing::info!(
                 event = "body_refused",
-                id,
+                id = id_text(frontend, &request),
                 route = &*route.name,
                 held = frontend.memory.held(memory::Purpose::Body),
                 waited_ms = started.elapsed().as_millis() as u64,
@@ -391,6 +390,26 @@
     deliver(frontend, conn, reply, persistence(), source).await
 }
 
+/// Returns the request id for log lines; empty if there is none.
+fn id_text<'a>(frontend: &Frontend, request: &'a head::Request) -> &'a str {
+    let id = request.parts.headers.get(&frontend.protocol.headers.request_id);
+    id.and_then(|id| id.to_str().ok()).unwrap_or_default()
+}
+
+fn log_too_long(
+    frontend: &Frontend,
+    request: &head::Request,
+    route: &route::Route,
+    limits: &route::Limits,
+) {
+    tracing::info!(
+        event = "body_too_long",
+        id = id_text(frontend, request),
+        route = &*route.name,
+        limit = limits.max_body_len,
+    );
+}
+
 /// Takes the terms of a call that another host passes on from its request; `None` if this host must
 /// not place the call, because it has an older configuration.
 fn take_terms(request: &mut head::Request, table: &route::Table) -> Option<forward::Terms> {
