Share the slots of one priority fairly among organisations

Cause: calls of one priority went in the order of their arrival, so that a large organisation that sends more than the upstreams can run kept most calls of small ones from running.

Change: within a priority the organisation that has used least goes first (start-time fair queueing by the work of the placed calls). Calls without an organisation count as those of one, so their order is as before.

--- a/crates/basilhaven/src/gateway/balancer.rs
+++ b/crates/basilhaven/src/gateway/balancer.rs
@@ -49,6 +49,8 @@
     pub service: &'a Rc<str>,
     /// Priority of the route; 0 is the highest.
     pub priority: u32,
+    /// The organisation of the caller, if known.
+    pub organisation: Option<&'a Rc<str>>,
     /// Ids of the upstreams that earlier attempts of the call were sent to.
     pub tried_upstreams: &'a [Rc<str>],
     /// When the call stops waiting for an upstream, because an attempt that starts later could not
@@ -248,7 +250,7 @@
                 searches += 1;
                 match self.search(requirements, service, &queue, subset_size).await {
                     Ok(permit) => {
-                        ticket.mark_placed();
+                        ticket.mark_placed(requirements.baseline);
                         return Ok(permit);
                     }
                     Err(Refusal::NoCapacity) if searches % SEARCHES_PER_REACH_CHECK == 1 => {
--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -162,6 +162,7 @@
         let requirements = balancer::Requirements {
             service: name,
             priority: route.priority,
+            organisation: None,
             tried_upstreams: progress.sends.upstreams(),
             queue_until: call.deadline.checked_sub(min_time).unwrap_or(call.deadline),
             deadline: call.deadline,
--- a/crates/basilhaven/src/gateway/mod.rs
+++ b/crates/basilhaven/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 pub mod run;
 pub mod selection;
 pub mod settings;
+pub mod shares;
 pub mod store;
 pub mod updates;
 pub mod upstream;
--- a/crates/basilhaven/src/gateway/queue.rs
+++ b/crates/basilhaven/src/gateway/queue.rs
@@ -6,7 +6,7 @@
 
 use indexmap::IndexMap;
 
-use super::{balancer, limit, notify, retries, room, route};
+use super::{balancer, limit, notify, retries, room, route, shares};
 
 /// The window over which retries are counted.
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
@@ -24,6 +24,8 @@
     pub(super) paused_until: Cell<Option<Instant>>,
     /// What is known of the room at the upstreams.
     pub room: room::Service,
+    /// The organisations of the waiting calls.
+    shares: shares::Shares,
     /// Budget for attempts beyond the first of each call.
     pub retries: retries::Budget,
     /// The times that callers of each route still wait, by route name.
@@ -87,6 +89,7 @@
             supply: Cell::default(),
             paused_until: Cell::default(),
             room: room::Service::default(),
+            shares: shares::Shares::default(),
             retries: retries::Budget::new(RETRY_WINDOW),
             deadlines: RefCell::default(),
             baselines: RefCell::default(),
@@ -95,9 +98,10 @@
 }
 
 /// Position of a waiting call in the queue.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Position {
     priority: u32,
+    account: Rc<shares::Account>,
     /// When the caller made its first attempt, as far as known.
     born: Instant,
     /// Increases in the order in which calls join the queue.
@@ -108,12 +112,14 @@
 impl Position {
     /// Returns the sort key of the queue: calls that can still meet their target come first, since
     /// a late response is worth little and the slot that it takes makes the next call late as well.
-    /// The calls of a starved priority come before all others. A caller that returns after a refusal
+    /// The calls of a starved priority come before all others. Within a priority the organisation
+    /// that has used least comes first. A caller that returns after a refusal
     /// has the place that it would have if it had waited, however soon it returns.
-    fn sort_key(&self, room: &room::Service, now: Instant) -> (bool, bool, u32, Instant, u64) {
+    fn sort_key(&self, room: &room::Service, now: Instant) -> (bool, bool, u32, u64, Instant, u64) {
         let is_starved = room.is_starved(self.priority);
         let is_late = now > self.latest_on_time_start;
-        (!is_starved, is_late, self.priority, self.born, self.number)
+        let order = self.account.order();
+        (!is_starved, is_late, self.priority, order, self.born, self.number)
     }
 }
 
@@ -135,15 +141,17 @@
         let now = Instant::now();
         let born = requirements.arrived_at.checked_sub(age).unwrap_or(requirements.arrived_at);
         let priority = requirements.priority;
-        let position = Position { priority, born, number, latest_on_time_start };
-        queue.waiting.borrow_mut().push(position);
+        let account = queue.shares.join(priority, requirements.organisation.cloned());
+        let position = Position { priority, account, born, number, latest_on_time_start };
+        queue.waiting.borrow_mut().push(position.clone());
         queue.room.record_arrival(priority, now);
         metrics::gauge!("basilhaven_waiting_calls").increment(1.0);
         Ticket { queue, position, is_placed: Cell::new(false) }
     }
 
-    /// Records that the call was placed at an upstream.
-    pub(super) fn mark_placed(&self) {
+    /// Records that the call was placed at an upstream, where it takes about `work`.
+    pub(super) fn mark_placed(&self, work: Duration) {
+        self.position.account.charge(work);
         self.is_placed.set(true);
     }
 
@@ -208,6 +216,7 @@
         metrics::gauge!("basilhaven_waiting_calls").decrement(1.0);
         let Position { number, priority, .. } = self.position;
         self.queue.room.record_departure(priority, self.is_placed.get(), Instant::now());
+        self.queue.shares.leave(&self.position.account);
         self.queue.waiting.borrow_mut().retain(|position| position.number != number);
     }
 }
--- a/crates/basilhaven/tests/gateway/selection.rs
+++ b/crates/basilhaven/tests/gateway/selection.rs
@@ -75,6 +75,7 @@
     let requirements = balancer::Requirements {
         service: &"catalogo".into(),
         priority: 0,
+        organisation: None,
         tried_upstreams: &[],
         queue_until: now + ms(700),
         deadline: now + ms(800),
