--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -173,6 +173,7 @@
         let requirements = balancer::Requirements {
             service: name,
             priority: call.priority,
+            organisation: call.organisation.as_ref(),
             tried_upstreams: progress.sends.upstreams(),
             queue_until: call.deadline.checked_sub(min_time).unwrap_or(call.deadline),
             deadline: call.deadline,
--- a/crates/basilhaven/src/gateway/mod.rs
+++ b/crates/basilhaven/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 pub mod selection;
 pub mod settings;
 pub mod shaper;
+pub mod shares;
 pub mod store;
 pub mod updates;
 pub mod upstream;
