Keep connections to upstreams: stable assignment, subsets widened by room

Cause: a host may send an upstream 1.2 probes a second, 38 to the 32 of its subset, while its 25 calls a second ask for 150. Searches without a report doubled the subset until it had all upstreams, and each of these was used less often than its idle connection was kept. Besides, the evenly spaced ring points of all hosts moved when one came or went.

Change: upstreams rank hosts by rendezvous hashing (cluster::assignment), and a host takes the first 32 that are usable: a recent report with a free slot, or a probe token. Among upstreams with equally few calls a search probes those with an open connection first, then uses recent reports, then opens connections. The number of searches no longer matters for the subset.

Ruled out: the bound of 4 idle connections and the 500 ms for at-most-once calls; a call follows a probe on the same connection, and pairs of a host and an upstream rarely have more than two calls.

Tests: that of evenly spaced points is replaced by one on equal ranks at all hosts; the even cover keeps its bounds of 6 to 21 hosts for each upstream.

--- a/crates/basilhaven/src/gateway/balancer.rs
+++ b/crates/basilhaven/src/gateway/balancer.rs
@@ -7,6 +7,7 @@
 
 use indexmap::IndexMap;
 
+use super::cluster::assignment;
 use super::{
     cluster, contact, limit, moves, pause, probe, reach, registry, retries, route, selection,
     upstream,
@@ -18,14 +19,11 @@
 /// Probes of a search that are kept for upstreams that name a rate, if any of them admits a call.
 const PROBES_FOR_LIMITED: usize = 3;
 
-/// Number of a service's upstreams from which the first search of a call chooses: the host's
+/// Number of a service's usable upstreams from which a search chooses: the host's
 /// [subset](selection::subset). With fewer, hosts that get more calls than others find all
 /// upstreams of their subset full.
 const SUBSET_SIZE: usize = 32;
 
-/// The subset doubles with each search of a call, at most this many times: up to 8,192 upstreams.
-const MAX_DOUBLINGS: u32 = 8;
-
 /// Load reports up to this age are used for another call without a new probe.
 const MAX_REUSED_REPORT_AGE: Duration = Duration::from_millis(3);
 
@@ -339,9 +337,8 @@
                 return Err(Refusal::Unreachable);
             }
             if ticket.ahead(Instant::now()) < MAX_CONCURRENT_SEARCHES {
-                let subset_size = SUBSET_SIZE << searches.min(MAX_DOUBLINGS);
                 searches += 1;
-                match self.search(requirements, service, &queue, subset_size).await {
+                match self.search(requirements, service, &queue).await {
                     Ok(permit) => return Ok(permit),
                     Err(Refusal::NoCapacity) if searches % SEARCHES_PER_REACH_CHECK == 1 => {
                         self.check_reach(requirements, Instant::now())?;
@@ -362,14 +359,13 @@
         }
     }
 
-    /// Probes some upstreams of a subset of `subset_size`, and reserves a slot on the cheapest of
-    /// them if its cost is acceptable.
+    /// Probes some upstreams of this host's subset, and reserves a slot on the cheapest of them if
+    /// its cost is acceptable.
     async fn search(
         &self,
         requirements: &Requirements<'_>,
         service: &route::Service,
         queue: &Rc<Queue>,
-        subset_size: usize,
     ) -> Result<Permit, Refusal> {
         let all = self.registry.upstreams_of(requirements.service);
         let now = Instant::now();
@@ -395,17 +391,27 @@
             None => limit::Supply::of(wanting.map(|u| &u.limit), now),
         };
         queue.supply.set(supply);
-        let point = self.members.ring_point(now);
-        self.refresh_limit(&eligible, point, service, now);
+        let assignment = self.members.assignment(now);
+        self.refresh_limit(&eligible, &assignment, service, now);
         let (limited, unlimited): (Vec<_>, Vec<_>) =
             eligible.into_iter().filter(|u| u.admits(now)).partition(|u| u.limit.rate().is_some());
-        let unlimited = selection::subset(unlimited, point, &self.data_centre, subset_size, now);
+        let is_usable = |u: &upstream::Upstream| match selection::has_recent_report(u, now) {
+            true => selection::has_free_slot(u),
+            false => self.prober.may_probe(u, now),
+        };
+        let own = &self.data_centre;
+        let unlimited = selection::subset(unlimited, &assignment, own, SUBSET_SIZE, is_usable, now);
         // No other host uses the admitted calls of limited upstreams.
         let limited_count =
             PROBES_FOR_LIMITED.max(PROBES_PER_SEARCH.saturating_sub(unlimited.len()));
-        let mut probed = selection::sample(&limited, limited_count, now);
+        let effort = |u: &upstream::Upstream| {
+            let may_be_probed = self.prober.may_probe(u, now);
+            let is_recent = selection::has_recent_report(u, now);
+            selection::Effort::of(may_be_probed, u.has_idle(now), is_recent)
+        };
+        let mut probed = selection::sample(&limited, limited_count, effort, now);
         let unlimited_count = PROBES_PER_SEARCH.saturating_sub(probed.len());
-        probed.extend(selection::sample(&unlimited, unlimited_count, now));
+        probed.extend(selection::sample(&unlimited, unlimited_count, effort, now));
         self.refresh_reports(&probed, service).await;
         let now = Instant::now();
         let available: Vec<_> = probed
@@ -446,19 +452,20 @@
         }
     }
 
-    /// Probes one of the upstreams near this host's ring point that do not admit a call now, but may
-    /// have ceased to name a rate.
+    /// Probes one of the upstreams that this host uses first and that do not admit a call now, but
+    /// may have ceased to name a rate.
     fn refresh_limit(
         &self,
         upstreams: &[&Rc<upstream::Upstream>],
-        point: u64,
+        assignment: &assignment::Assignment,
         service: &route::Service,
         now: Instant,
     ) {
         let is_stale = |u: &&Rc<upstream::Upstream>| u.limit.is_stale(now) && !u.admits(now);
         let stale: Vec<_> = upstreams.iter().copied().filter(is_stale).collect();
-        let near = selection::subset(stale, point, &self.data_centre, SUBSET_SIZE, now);
-        if let Some(upstream) = fastrand::choice(near) {
+        let own = &self.data_centre;
+        let first = selection::subset(stale, assignment, own, SUBSET_SIZE, |_| true, now);
+        if let Some(upstream) = fastrand::choice(first) {
             self.prober.start(upstream, &service.health_path);
         }
     }
--- a/crates/basilhaven/src/gateway/cluster.rs
+++ b/crates/basilhaven/src/gateway/cluster.rs
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 pub mod advertised;
+pub mod assignment;
 pub mod datagram;
 pub mod partition;
 pub mod reach;
@@ -143,6 +144,11 @@
         rapidhash::v3::rapidhash_v3(&self.address)
     }
 
+    /// Returns a hash that distinguishes hosts, also those that share an address.
+    fn key(&self) -> u64 {
+        self.rank() ^ u64::from(self.peer_port)
+    }
+
     /// Returns whether the host reaches no service.
     fn is_stranded(&self) -> bool {
         self.reach == reach::Reach::Nothing
@@ -222,7 +228,7 @@
 }
 
 /// Returns a short hash of a name, which is the same on all hosts.
-fn name_hash(name: &str) -> u16 {
+pub fn name_hash(name: &str) -> u16 {
     rapidhash::v3::rapidhash_v3(name.as_bytes()) as u16
 }
 
@@ -578,16 +584,15 @@
         }
     }
 
-    /// Returns this host's point on the hash ring of upstreams. The points of the advertised hosts
-    /// are evenly spaced. A host that is not advertised gets the point that it would have if the
-    /// points of all live hosts were evenly spaced.
-    pub fn ring_point(&self, now: Instant) -> u64 {
+    /// Returns the order in which this host uses upstreams: its assignment among the advertised
+    /// hosts, or among all live hosts if it is not advertised.
+    pub fn assignment(&self, now: Instant) -> assignment::Assignment {
         let own = self.own.get();
         let advertised = self.advertised_hosts(now);
         match advertised.current().iter().any(|heartbeat| heartbeat.peer_addr() == own.peer_addr())
         {
-            true => point_among(advertised.current(), &own),
-            false => point_among(&self.live(now), &own),
+            true => assignment::Assignment::among(&own, advertised.current()),
+            false => assignment::Assignment::among(&own, &self.live(now)),
         }
     }
 
@@ -691,12 +696,6 @@
     }
 }
 
-/// Returns the point of a host on the hash ring if these hosts, which include it, are evenly
-/// spaced.
-fn point_among(hosts: &[Heartbeat], own: &Heartbeat) -> u64 {
-    rank_among(hosts, own) as u64 * (u64::MAX / hosts.len().max(1) as u64)
-}
-
 /// Returns the position of a host among these hosts, in an order that is the same on all hosts.
 fn rank_among(hosts: &[Heartbeat], own: &Heartbeat) -> usize {
     let key = |heartbeat: &Heartbeat| (heartbeat.rank(), heartbeat.peer_addr());
--- a/crates/basilhaven/src/gateway/probe.rs
+++ b/crates/basilhaven/src/gateway/probe.rs
@@ -44,6 +44,12 @@
         Prober { protocol, rate, members }
     }
 
+    /// Returns whether this host may probe an upstream now, by its share of the permitted rate.
+    pub fn may_probe(&self, upstream: &upstream::Upstream, now: Instant) -> bool {
+        upstream.is_probe_pending.get()
+            || !upstream.pause.is_active(now) && upstream.probes.tokens(now) >= 1.0
+    }
+
     /// Takes a token for a probe of an upstream from this host's share; returns whether one was
     /// left.
     fn try_take_token(&self, upstream: &upstream::Upstream) -> bool {
--- a/crates/basilhaven/src/gateway/selection.rs
+++ b/crates/basilhaven/src/gateway/selection.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use super::cluster::assignment;
 use super::upstream;
 
 /// Load reports older than this are ignored, since slow phases of upstreams last only a few hundred
@@ -57,47 +58,95 @@
     upstream.occupancy() < upstream.slots()
 }
 
-/// Returns the subset of the candidates that the host with this `point` on the hash ring chooses
-/// from: `count` warm upstreams, and all cold ones, because every host may send a cold upstream its
-/// share of the calls that the upstream can take.
+/// Returns whether a recent load report shows that an upstream is full.
+pub fn is_known_full(upstream: &upstream::Upstream, now: Instant) -> bool {
+    has_recent_report(upstream, now) && !has_free_slot(upstream)
+}
+
+/// Returns whether a recent load report of an upstream is known.
+pub fn has_recent_report(upstream: &upstream::Upstream, now: Instant) -> bool {
+    upstream
+        .report()
+        .is_some_and(|r| now.saturating_duration_since(r.received_at) <= MAX_REPORT_AGE)
+}
+
+/// Returns the subset of the candidates that a host with this assignment chooses from: `count` warm
+/// upstreams, and all cold ones, because every host may send a cold upstream its share of the calls
+/// that the upstream can take.
 ///
 /// Without subsets, in a system of many hosts and upstreams, a host would use each upstream too
-/// rarely to keep a connection open. The warm upstreams of the subset are those that follow `point`
-/// on the ring, half of them from the host's own data centre if it has enough. The points of the
-/// hosts are evenly spaced, so that all upstreams are in about the same number of subsets.
-pub fn subset<'a>(
-    mut candidates: Vec<&'a Rc<upstream::Upstream>>,
-    point: u64,
+/// rarely to keep a connection open. The warm upstreams of the subset are the first ones by the
+/// assignment that are usable, half of them from the host's own data centre if it has enough. So
+/// the subset is only as wide as room and probes require, and a call that finds others full or
+/// probed too often goes on to the next. Others fill up the subset if too few are usable.
+pub fn subset<'a, F>(
+    candidates: Vec<&'a Rc<upstream::Upstream>>,
+    assignment: &assignment::Assignment,
     data_centre: &str,
     count: usize,
+    is_usable: F,
     now: Instant,
-) -> Vec<&'a Rc<upstream::Upstream>> {
+) -> Vec<&'a Rc<upstream::Upstream>>
+where
+    F: Fn(&upstream::Upstream) -> bool,
+{
     if candidates.len() <= count {
         return candidates;
     }
-    let (cold, warm): (Vec<_>, Vec<_>) = candidates.drain(..).partition(|u| u.is_cold(now));
-    candidates.extend(warm);
-    candidates.sort_unstable_by_key(|u| u.ring_point().wrapping_sub(point));
+    let (cold, mut warm): (Vec<_>, Vec<_>) = candidates.into_iter().partition(|u| u.is_cold(now));
+    warm.sort_by_cached_key(|u| u.place(assignment));
+    let (usable, rest): (Vec<_>, Vec<_>) = warm.into_iter().partition(|u| is_usable(u));
     let (mut local, mut remote): (Vec<_>, Vec<_>) =
-        candidates.into_iter().partition(|u| *u.entry().data_centre == *data_centre);
+        usable.into_iter().partition(|u| *u.entry().data_centre == *data_centre);
     local.truncate(count.div_ceil(2).max(count.saturating_sub(remote.len())));
     remote.truncate(count - local.len());
-    local.into_iter().chain(remote).chain(cold).collect()
+    let missing = count - local.len() - remote.len();
+    local.into_iter().chain(remote).chain(rest.into_iter().take(missing)).chain(cold).collect()
+}
+
+/// What it takes to learn the load of an upstream before a call; less is better.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Effort {
+    /// A probe on an open connection.
+    Probe,
+    /// None: a recent report is known. It is worse than a new one.
+    Nothing,
+    /// A probe on a new connection.
+    Connect,
+    /// The upstream may not be probed now.
+    Impossible,
+}
+
+impl Effort {
+    /// Returns what it takes for an upstream which `may_be_probed`, `is_connected` and has a report
+    /// that `is_recent`, or not.
+    pub fn of(may_be_probed: bool, is_connected: bool, is_recent: bool) -> Effort {
+        match (may_be_probed, is_connected, is_recent) {
+            (true, true, _) => Effort::Probe,
+            (_, _, true) => Effort::Nothing,
+            (true, false, false) => Effort::Connect,
+            (false, _, false) => Effort::Impossible,
+        }
+    }
 }
 
 /// Returns the `count` candidates to probe: those with the fewest calls in flight from this host
-/// plus recent failures, ties in random order.
-pub fn sample<'a>(
+/// plus recent failures, and of these the ones with the least `effort`, ties in random order.
+pub fn sample<'a, F>(
     candidates: &[&'a Rc<upstream::Upstream>],
     count: usize,
+    effort: F,
     now: Instant,
-) -> Vec<&'a Rc<upstream::Upstream>> {
-    let mut order: Vec<(u32, u32, &Rc<upstream::Upstream>)> = candidates
-        .iter()
-        .map(|&u| (u.in_flight() + u.failures(now) as u32, fastrand::u32(..), u))
-        .collect();
-    order.sort_by_key(|&(load, tie, _)| (load, tie));
-    order.into_iter().take(count).map(|(_, _, upstream)| upstream).collect()
+) -> Vec<&'a Rc<upstream::Upstream>>
+where
+    F: Fn(&upstream::Upstream) -> Effort,
+{
+    let mut order = candidates.to_vec();
+    order.sort_by_cached_key(|u| {
+        (u.in_flight() + u.failures(now) as u32, effort(u), fastrand::u32(..))
+    });
+    order.truncate(count);
+    order
 }
 
 /// Returns the candidate with the lowest cost, and that cost, among those that have a free slot and
@@ -107,9 +156,7 @@
     data_centre: &str,
     now: Instant,
 ) -> Option<(&'a Rc<upstream::Upstream>, f64)> {
-    let is_usable = |u: &upstream::Upstream| {
-        u.report().is_some_and(|r| now - r.received_at <= MAX_REPORT_AGE) && has_free_slot(u)
-    };
+    let is_usable = |u: &upstream::Upstream| has_recent_report(u, now) && has_free_slot(u);
     let costs = candidates.iter().filter(|u| is_usable(u)).map(|&u| (u, cost(u, data_centre, now)));
     costs.min_by(|a, b| a.1.total_cmp(&b.1))
 }
--- a/crates/basilhaven/src/gateway/upstream.rs
+++ b/crates/basilhaven/src/gateway/upstream.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::cluster::{self, assignment};
 use super::{contact, limit, notify, pause, probe, protocol, warmup};
 use crate::{budget, finding, http1};
 
@@ -133,6 +134,8 @@
     /// The id of the upstream.
     pub id: Rc<str>,
     ring_point: u64,
+    /// The place of this host at the upstream, and the epoch of the assignment that it is from.
+    place: Cell<Option<(u64, assignment::Place)>>,
     entry: RefCell<Entry>,
     /// Calls of this host that have not ended.
     in_flight: Cell<u32>,
@@ -162,6 +165,7 @@
         let upstream = Upstream {
             ring_point: rapidhash::v3::rapidhash_v3(id.as_bytes()),
             id,
+            place: Cell::default(),
             in_flight: Cell::default(),
             report: Cell::default(),
             sent_since_report: Cell::default(),
@@ -234,12 +238,30 @@
         }
     }
 
-    /// Returns the upstream's point on the hash ring by which hosts choose their subsets of
-    /// upstreams.
+    /// Returns a hash of the upstream's id, by which hosts divide the upstreams among each other.
     pub fn ring_point(&self) -> u64 {
         self.ring_point
     }
 
+    /// Returns the place of this host at the upstream.
+    pub fn place(&self, assignment: &assignment::Assignment) -> assignment::Place {
+        match self.place.get() {
+            Some((epoch, place)) if epoch == assignment.epoch() => place,
+            _ => {
+                let data_centre = cluster::name_hash(&self.entry().data_centre);
+                let place = assignment.place(self.ring_point, data_centre);
+                self.place.set(Some((assignment.epoch(), place)));
+                place
+            }
+        }
+    }
+
+    /// Returns whether a connection is idle.
+    pub fn has_idle(&self, now: Instant) -> bool {
+        let idle = self.idle.borrow();
+        idle.iter().any(|one| now.saturating_duration_since(one.since) < one.keep_alive)
+    }
+
     /// Returns whether the upstream is in its cold start.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.warmup.is_cold(now)
--- a/crates/basilhaven/tests/gateway/cluster.rs
+++ b/crates/basilhaven/tests/gateway/cluster.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use basilhaven::gateway::cluster::datagram::Frame;
-use basilhaven::gateway::cluster::{Heartbeat, Members, Record, State};
+use basilhaven::gateway::cluster::{name_hash, Heartbeat, Members, Record, State};
 
 fn address(host: u8, port: u16) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, host], port))
@@ -123,8 +123,9 @@
     assert!(targets.len() <= 3);
 }
 
+// Guards against hosts that divide the upstreams in different ways, so that some have no host.
 #[test]
-fn the_ring_points_of_hosts_are_distinct_and_evenly_spaced() {
+fn all_hosts_rank_each_other_in_the_same_order_for_an_upstream() {
     let now = Instant::now();
     let members: Vec<Members> = (1..=60).map(|host| member(host, "a", now)).collect();
     members.iter().for_each(|member| member.set_upstream_slots(SLOTS_FOR_ALL));
@@ -133,10 +134,15 @@
             own.merge(address(j as u8 + 1, 7000), &heartbeats(other, now)[..1], now);
         }
     }
-    let mut points: Vec<u64> = members.iter().map(|member| member.ring_point(now)).collect();
-    points.sort_unstable();
-    let step = u64::MAX / 60;
-    assert!(points.iter().enumerate().all(|(i, point)| *point == i as u64 * step));
+    for data_centre in ["a", "b"] {
+        let data_centre = name_hash(data_centre);
+        for upstream in 0..20 {
+            let rank = |member: &Members| member.assignment(now).place(upstream, data_centre).rank;
+            let mut ranks: Vec<u16> = members.iter().map(rank).collect();
+            ranks.sort_unstable();
+            assert_eq!(ranks, (0..60).collect::<Vec<u16>>());
+        }
+    }
 }
 
 /// Lets hosts exchange heartbeats for 40 s, with one datagram in a hundred lost. Returns how often
--- a/crates/basilhaven/tests/gateway/main.rs
+++ b/crates/basilhaven/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod advertised;
 mod cluster;
+mod connections;
 mod datagram;
 mod limits;
 mod moves;
--- a/crates/basilhaven/tests/gateway/selection.rs
+++ b/crates/basilhaven/tests/gateway/selection.rs
@@ -3,6 +3,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use basilhaven::gateway::cluster::assignment::Assignment;
+use basilhaven::gateway::cluster::name_hash;
+use basilhaven::gateway::selection::Effort;
 use basilhaven::gateway::upstream::{Entry, Upstream};
 use basilhaven::gateway::{balancer, selection};
 
@@ -99,18 +102,38 @@
     (0..count).map(one).collect()
 }
 
+/// Returns the assignments of `count` hosts, spread over four data centres, and the data centre of
+/// each.
+fn assignments(count: u64) -> Vec<(Assignment, &'static str)> {
+    let data_centre = |host: u64| DATA_CENTRES[(host * 7 % 4) as usize];
+    let keys: Vec<(u64, u16)> =
+        (0..count).map(|host| (host, name_hash(data_centre(host)))).collect();
+    let one = |host: u64| {
+        let own = data_centre(host);
+        (Assignment::new(host, name_hash(own), keys.clone()), own)
+    };
+    (0..count).map(one).collect()
+}
+
+fn subset<'a>(
+    fleet: Vec<&'a Rc<Upstream>>,
+    (assignment, own): &(Assignment, &str),
+    count: usize,
+    now: Instant,
+) -> Vec<&'a Rc<Upstream>> {
+    selection::subset(fleet, assignment, own, count, |_| true, now)
+}
+
 #[test]
 fn the_subsets_of_all_hosts_cover_the_upstreams_evenly() {
     let now = Instant::now();
-    let (hosts, count) = (108, 32);
-    let fleet = fleet(268, now);
-    let mut users = vec![0; fleet.len()];
-    for host in 0..hosts {
-        let point = host * (u64::MAX / hosts);
-        let own = DATA_CENTRES[(host * 7 % 4) as usize];
-        let used = selection::subset(fleet.iter().collect(), point, own, count, now);
+    let count = 32;
+    let mut users = vec![0; 268];
+    for host in &assignments(108) {
+        let fleet = fleet(268, now);
+        let used = subset(fleet.iter().collect(), host, count, now);
         assert_eq!(used.len(), count);
-        let local = used.iter().filter(|u| *u.entry().data_centre == *own).count();
+        let local = used.iter().filter(|u| *u.entry().data_centre == *host.1).count();
         assert_eq!(local, count / 2);
         for upstream in used {
             let index = fleet.iter().position(|u| u.id == upstream.id);
@@ -122,14 +145,51 @@
     assert!(least >= Some(&6) && most <= Some(&21), "{least:?} to {most:?} hosts per upstream");
 }
 
+// Guards against all hosts changing their upstreams, and opening connections to others, when one of
+// them is replaced.
+#[test]
+fn a_host_that_leaves_changes_few_upstreams_of_the_others() {
+    let now = Instant::now();
+    let (before, after) = (assignments(25), assignments(24));
+    let mut kept = 0;
+    for (before, after) in before.iter().zip(&after) {
+        let fleet = fleet(236, now);
+        let first = subset(fleet.iter().collect(), before, 32, now);
+        let second = subset(fleet.iter().collect(), after, 32, now);
+        kept += first.iter().filter(|u| second.iter().any(|v| v.id == u.id)).count();
+    }
+    // The upstreams of the host that left are 1 of 25.
+    assert!(kept as f64 >= 0.9 * 24.0 * 32.0, "{kept} of {} upstreams kept", 24 * 32);
+}
+
+// Guards against a search that stays with upstreams that are full or may not be probed, and against
+// one that goes on to others while the first ones have room.
+#[test]
+fn a_subset_is_widened_by_the_upstreams_that_are_not_usable() {
+    let now = Instant::now();
+    let (fleet, host) = (fleet(236, now), &assignments(25)[3]);
+    let first = subset(fleet.iter().collect(), host, 32, now);
+    let ids = |of: &[&Rc<Upstream>]| of.iter().map(|u| Rc::clone(&u.id)).collect::<Vec<_>>();
+    let full = ids(&first[..10]);
+    let is_usable = |u: &Upstream| !full.contains(&u.id);
+    let second = selection::subset(fleet.iter().collect(), &host.0, host.1, 32, is_usable, now);
+    assert_eq!(second.len(), 32);
+    assert!(second.iter().all(|u| !full.contains(&u.id)));
+    let kept = ids(&second).into_iter().filter(|id| ids(&first).contains(id)).count();
+    assert_eq!(kept, 22);
+}
+
 #[test]
 fn a_subset_is_as_large_as_the_upstreams_permit() {
     let now = Instant::now();
     let fleet = fleet(21, now);
-    assert_eq!(selection::subset(fleet.iter().collect(), 0, "a", 32, now).len(), 21);
-    assert_eq!(selection::subset(fleet.iter().collect(), 0, "elsewhere", 12, now).len(), 12);
+    let host = &assignments(25)[0];
+    assert_eq!(subset(fleet.iter().collect(), host, 32, now).len(), 21);
+    assert_eq!(subset(fleet.iter().collect(), &(host.0.clone(), "elsewhere"), 12, now).len(), 12);
     let local: Vec<_> = fleet.iter().filter(|u| *u.entry().data_centre == *"a").collect();
-    assert_eq!(selection::subset(local, 0, "a", 4, now).len(), 4);
+    assert_eq!(subset(local, host, 4, now).len(), 4);
+    let none = selection::subset(fleet.iter().collect(), &host.0, "a", 12, |_| false, now);
+    assert_eq!(none.len(), 12);
 }
 
 #[test]
@@ -138,8 +198,8 @@
     let mut fleet = fleet(100, now);
     let cold = Entry { cold_remaining: Duration::from_secs(3), ..entry("catalogo", "v1", "b") };
     fleet.push(Rc::new(Upstream::new("cold".into(), cold, now)));
-    for point in [0, u64::MAX / 3, u64::MAX / 3 * 2] {
-        let used = selection::subset(fleet.iter().collect(), point, "a", 32, now);
+    for host in &assignments(3) {
+        let used = subset(fleet.iter().collect(), host, 32, now);
         assert_eq!(used.len(), 33);
         assert!(used.iter().any(|u| &*u.id == "cold"));
     }
@@ -149,10 +209,25 @@
 fn removing_an_upstream_changes_a_subset_by_one() {
     let now = Instant::now();
     let fleet = fleet(268, now);
-    let before = selection::subset(fleet.iter().collect(), 7, "a", 32, now);
+    let host = &assignments(108)[7];
+    let before = subset(fleet.iter().collect(), host, 32, now);
     let left = Rc::clone(before[3]);
     let rest = fleet.iter().filter(|u| u.id != left.id).collect();
-    let after = selection::subset(rest, 7, "a", 32, now);
+    let after = subset(rest, host, 32, now);
     let kept = before.iter().filter(|u| after.iter().any(|v| v.id == u.id)).count();
     assert_eq!(kept, 31);
 }
+
+// Guards against probes that open connections while upstreams with an open one are as good.
+#[test]
+fn of_equal_upstreams_the_ones_that_take_the_least_effort_are_probed() {
+    let now = Instant::now();
+    let fleet = fleet(20, now);
+    let connected = |u: &Upstream| Effort::of(true, u.id.ends_with('3'), false);
+    let all: Vec<_> = fleet.iter().collect();
+    let probed = selection::sample(&all, 2, connected, now);
+    assert!(probed.iter().all(|u| u.id.ends_with('3')));
+    fleet[3].begin_call(now);
+    let probed = selection::sample(&all, 2, connected, now);
+    assert!(probed.iter().all(|u| &*u.id != "i-3"), "fewer calls go first");
+}
