Send at-most-once calls only where a new report shows room

Cause: a report of up to 150 ms was enough for any call. Some upstreams reset connections when full; a call that was written and reset may have run, and an at-most-once call is then lost. Nothing told such resets from other failures.

Change: for an at-most-once call the report has to be newer the fewer free slots it shows, besides those filled by this host since: 50 ms for each, 150 ms at most. A connection that ends within 50 ms of the send, at an upstream without a free slot by its last report, is counted (basilhaven_full_resets_total) and logged (full_reset), and the upstream counts as full until it reports a free slot.

Ruled out: 50 ms for every at-most-once call; it opened more connections.

--- a/crates/basilhaven-bench/tests/gateway/main.rs
+++ b/crates/basilhaven-bench/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 //! callers.
 
 mod fixture;
+mod full_resets;
 mod hosts;
 mod leaving;
 mod limits;
--- a/crates/basilhaven/src/gateway/attempt.rs
+++ b/crates/basilhaven/src/gateway/attempt.rs
@@ -128,6 +128,7 @@
         }
         Err(_) => return Outcome::NotRun(Cause::Timeout),
     };
+    let sent_at = Instant::now();
     let exchange = exchange(call, upstream, protocol, &mut conn);
     let received = match timeout_at(call.deadline, exchange).await {
         Ok(received) => received,
@@ -155,7 +156,10 @@
                 http1::Category::Malformed | http1::Category::HeadTooLarge => {
                     Cause::InvalidResponse
                 }
-                http1::Category::CutShort | http1::Category::Io => Cause::ConnectionLost,
+                http1::Category::CutShort | http1::Category::Io => {
+                    upstream.record_reset(sent_at, Instant::now());
+                    Cause::ConnectionLost
+                }
             })
         }
     }
--- a/crates/basilhaven/src/gateway/balancer.rs
+++ b/crates/basilhaven/src/gateway/balancer.rs
@@ -12,6 +12,7 @@
     cluster, contact, limit, moves, pause, probe, reach, registry, retries, route, selection,
     upstream,
 };
+use crate::profile;
 
 /// Maximum number of upstreams that one search probes for their load.
 const PROBES_PER_SEARCH: usize = 6;
@@ -63,6 +64,8 @@
     pub baseline: Duration,
     /// Whether the call may be passed to another host.
     pub may_be_passed_on: bool,
+    /// Whether the call may run more than once.
+    pub idempotency: profile::Idempotency,
 }
 
 impl Requirements<'_> {
@@ -72,6 +75,21 @@
         self.target_at.checked_sub(self.baseline.mul_f64(BEST_COST)).unwrap_or(self.target_at)
     }
 
+    /// Returns whether the call may be sent to an upstream by what is known of its room. The fewer
+    /// free slots a report shows, the newer it has to be for an at-most-once call, which must not be
+    /// sent again if the upstream turns out to be full.
+    pub fn has_room(&self, upstream: &upstream::Upstream, now: Instant) -> bool {
+        let Some(report) = upstream.report() else { return false };
+        let free = upstream.slots().saturating_sub(upstream.occupancy());
+        let max_age = match self.idempotency {
+            profile::Idempotency::Idempotent => selection::MAX_REPORT_AGE,
+            profile::Idempotency::AtMostOnce => selection::REPORT_AGE_PER_FREE_SLOT
+                .saturating_mul(free)
+                .min(selection::MAX_REPORT_AGE),
+        };
+        free > 0 && now.saturating_duration_since(report.received_at) <= max_age
+    }
+
     /// Returns whether the call may run now on an upstream of this [cost](selection::cost).
     ///
     /// An upstream that would miss the latency target is accepted only once no other upstream could
@@ -417,6 +435,7 @@
         let available: Vec<_> = probed
             .into_iter()
             .filter(|u| u.admits(now) && self.registry.is_eligible(u, now))
+            .filter(|u| requirements.has_room(u, now))
             .collect();
         let available = self.registry.prefer_healthy(available, now);
         let candidates = available.len();
--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -164,6 +164,7 @@
             target_at: started.checked_sub(elapsed).unwrap_or(started) + route.latency_target,
             baseline: queue.baseline(route),
             may_be_passed_on,
+            idempotency: call.idempotency,
         };
         let acquired = frontend.balancer.acquire(&requirements, service).await;
         if caller_left.count() > 0 {
--- a/crates/basilhaven/src/gateway/selection.rs
+++ b/crates/basilhaven/src/gateway/selection.rs
@@ -14,6 +14,12 @@
 /// milliseconds.
 pub const MAX_REPORT_AGE: Duration = Duration::from_millis(150);
 
+/// Age up to which a load report is used for an at-most-once call, for each free slot that it shows
+/// besides those that this host has filled since. Some upstreams reset the connections of calls for
+/// which they have no room, and it stays unknown whether such a call has run. The queue of an
+/// upstream is the margin for hosts that see the same free slot meanwhile.
+pub const REPORT_AGE_PER_FREE_SLOT: Duration = Duration::from_millis(50);
+
 /// Relative increase of a call's latency when all slots of the upstream are in use.
 const OCCUPANCY_COST: f64 = 0.3;
 
--- a/crates/basilhaven/src/gateway/upstream.rs
+++ b/crates/basilhaven/src/gateway/upstream.rs
@@ -22,6 +22,10 @@
 /// The most idle connections to one upstream, for calls and probes.
 const MAX_IDLE: usize = 4;
 
+/// Time after a send within which a reset counts as that of an upstream that was full: a few round
+/// trips between data centres, less than most calls take.
+const FULL_RESET_TIME: Duration = Duration::from_millis(50);
+
 /// Half-life of recorded failures.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
 
@@ -442,6 +446,30 @@
         }
     }
 
+    /// Records that the connection of a call that was sent at `sent_at` was reset. If that is what a
+    /// full upstream does, it counts as full until it reports a free slot.
+    pub fn record_reset(&self, sent_at: Instant, now: Instant) {
+        let is_at_once = now.saturating_duration_since(sent_at) <= FULL_RESET_TIME;
+        let Some(report) = self.report.get().filter(|_| is_at_once) else { return };
+        // The call that was reset is among those that this host knows of.
+        if self.occupancy() < self.slots() {
+            return;
+        }
+        metrics::counter!("basilhaven_full_resets_total").increment(1);
+        tracing::info!(
+            event = "full_reset",
+            upstream = &*self.id,
+            running = report.load.running,
+            waiting = report.load.waiting,
+            slots = self.slots(),
+            sent = self.sent_since_report.get(),
+            report_age_ms =
+                sent_at.saturating_duration_since(report.received_at).as_millis() as u64,
+        );
+        let load = protocol::Load { running: self.slots(), ..report.load };
+        self.record_report(load, now);
+    }
+
     /// Drops the recorded failures.
     pub fn forget_failures(&self, now: Instant) {
         self.failures.set((0.0, now));
--- a/crates/basilhaven/tests/gateway/connections.rs
+++ b/crates/basilhaven/tests/gateway/connections.rs
@@ -13,6 +13,7 @@
 use basilhaven::gateway::protocol::Load;
 use basilhaven::gateway::upstream::{Entry, Upstream};
 use basilhaven::gateway::{balancer, selection};
+use basilhaven::profile::Idempotency;
 
 use crate::entry;
 
@@ -190,6 +191,7 @@
             target_at: at(600),
             baseline: Duration::from_millis(WORK_MS),
             may_be_passed_on: false,
+            idempotency: Idempotency::Idempotent,
         };
         if !requirements.accepts(cost, now) {
             return false;
--- a/crates/basilhaven/tests/gateway/selection.rs
+++ b/crates/basilhaven/tests/gateway/selection.rs
@@ -8,6 +8,7 @@
 use basilhaven::gateway::selection::Effort;
 use basilhaven::gateway::upstream::{Entry, Upstream};
 use basilhaven::gateway::{balancer, selection};
+use basilhaven::profile::Idempotency;
 
 use crate::{entry, load, upstream};
 
@@ -84,6 +85,7 @@
         target_at: now + ms(250),
         baseline: ms(90),
         may_be_passed_on: false,
+        idempotency: Idempotency::Idempotent,
     };
     assert!(requirements.accepts(1.3, now));
     assert!(!requirements.accepts(4.0, now), "360 ms for a target of 250");
@@ -94,6 +96,63 @@
     assert!(!requirements.accepts(8.0, now + ms(200)), "the call would miss the caller's deadline");
 }
 
+// Guards against at-most-once calls that are sent to an upstream which has become full, and resets
+// their connections: they may not be sent again.
+#[test]
+fn an_at_most_once_call_needs_a_newer_report_that_shows_room() {
+    let now = Instant::now();
+    let ms = Duration::from_millis;
+    let service = "catalogo".into();
+    let requirements = |idempotency| balancer::Requirements {
+        service: &service,
+        priority: 0,
+        tried_upstreams: &[],
+        queue_until: now + ms(700),
+        deadline: now + ms(800),
+        target_at: now + ms(250),
+        baseline: ms(90),
+        may_be_passed_on: false,
+        idempotency,
+    };
+    let [safe, once] = [Idempotency::Idempotent, Idempotency::AtMostOnce].map(requirements);
+    let one = upstream("one", "v1", "a", now);
+    assert!(!once.has_room(&one, now), "nothing is known of it");
+    one.record_report(load(2, 1.0), now);
+    assert!(once.has_room(&one, now + ms(90)));
+    assert!(!once.has_room(&one, now + ms(110)) && safe.has_room(&one, now + ms(110)));
+    one.record_report(load(0, 1.0), now);
+    assert!(!once.has_room(&one, now + selection::MAX_REPORT_AGE + ms(1)));
+    one.record_report(load(3, 1.0), now);
+    assert!(once.has_room(&one, now + ms(40)));
+    assert!(!once.has_room(&one, now + ms(60)) && safe.has_room(&one, now + ms(60)));
+    one.record_report(load(2, 1.0), now);
+    [0, 1].iter().for_each(|_| one.begin_call(now));
+    assert!(!once.has_room(&one, now + ms(10)), "two running and two sent since, of four slots");
+}
+
+// Guards against more calls to an upstream that has just reset one because it was full.
+#[test]
+fn an_upstream_that_resets_a_call_when_nearly_full_counts_as_full() {
+    let now = Instant::now();
+    let ms = Duration::from_millis;
+    let [idle, slow, full] = ["idle", "slow", "full"].map(|id| upstream(id, "v1", "a", now));
+    for (one, running) in [(&idle, 0), (&slow, 3), (&full, 3)] {
+        one.record_report(load(running, 1.0), now);
+        one.begin_call(now);
+    }
+    idle.record_reset(now, now + ms(2));
+    slow.record_reset(now, now + ms(300));
+    full.record_reset(now, now + ms(2));
+    for one in [&idle, &slow, &full] {
+        one.end_call(now);
+    }
+    let later = now + ms(10);
+    let is_full = |one: &Upstream| selection::is_known_full(one, later);
+    assert!(!is_full(&idle), "a reset of an upstream with free slots has another reason");
+    assert!(!is_full(&slow), "the reset came long after the call was sent");
+    assert!(is_full(&full));
+}
+
 const DATA_CENTRES: [&str; 4] = ["a", "b", "c", "d"];
 
 /// Returns `count` upstreams, spread over four data centres.
