Keep the places of upstreams while the live hosts stay the same

Cause: a host that is not advertised takes its assignment among the live hosts, which are known in another order after each heartbeat. The epoch of the assignment depended on that order, so each search computed all places anew.

Change: the hosts of an assignment are sorted.

Result: the test on the epoch failed before and passes now.

--- a/crates/basilhaven/src/gateway/cluster/assignment.rs
+++ b/crates/basilhaven/src/gateway/cluster/assignment.rs
@@ -23,7 +23,7 @@
 pub struct Assignment {
     own: u64,
     data_centre: u16,
-    /// The hash and the data centre of each host.
+    /// The hash and the data centre of each host, sorted.
     hosts: Vec<(u64, u16)>,
     epoch: u64,
 }
@@ -44,7 +44,8 @@
     where
         I: IntoIterator<Item = (u64, u16)>,
     {
-        let hosts: Vec<(u64, u16)> = hosts.into_iter().collect();
+        let mut hosts: Vec<(u64, u16)> = hosts.into_iter().collect();
+        hosts.sort_unstable();
         let epoch = hosts.iter().fold(own, |epoch, (host, _)| combine(epoch, *host));
         Assignment { own, data_centre, hosts, epoch }
     }
--- a/crates/basilhaven/tests/gateway/selection.rs
+++ b/crates/basilhaven/tests/gateway/selection.rs
@@ -257,6 +257,15 @@
     assert!(kept as f64 >= 0.9 * 24.0 * 32.0, "{kept} of {} upstreams kept", 24 * 32);
 }
 
+// Guards against places that are computed anew in every search, as live hosts are known in another
+// order after each heartbeat.
+#[test]
+fn the_epoch_of_an_assignment_does_not_depend_on_the_order_of_hosts() {
+    let epoch = |hosts: [u64; 3]| Assignment::new(1, 0, hosts.map(|host| (host, 0))).epoch();
+    assert_eq!(epoch([1, 2, 3]), epoch([3, 1, 2]));
+    assert_ne!(epoch([1, 2, 3]), epoch([1, 2, 4]));
+}
+
 // Guards against a search that stays with upstreams that are full or may not be probed, and against
 // one that goes on to others while the first ones have room.
 #[test]
