--- a/crates/basilhaven-bench/tests/gateway/main.rs
+++ b/crates/basilhaven-bench/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod access;
 mod bodies;
 mod fixture;
+mod full_resets;
 mod hosts;
 mod leaving;
 mod limits;
--- a/crates/basilhaven/src/gateway/balancer.rs
+++ b/crates/basilhaven/src/gateway/balancer.rs
@@ -7,10 +7,12 @@
 
 use indexmap::IndexMap;
 
+use super::cluster::assignment;
 use super::queue::{Queue, Ticket};
 use super::{
     cluster, contact, limit, moves, pause, probe, reach, registry, room, route, selection, upstream,
 };
+use crate::profile;
 
 /// Maximum number of upstreams that one search probes for their load.
 const PROBES_PER_SEARCH: usize = 6;
@@ -18,14 +20,11 @@
 /// Probes of a search that are kept for upstreams that name a rate, if any of them admits a call.
 const PROBES_FOR_LIMITED: usize = 3;
 
-/// Number of a service's upstreams from which the first search of a call chooses: the host's
+/// Number of a service's usable upstreams from which a search chooses: the host's
 /// [subset](selection::subset). With fewer, hosts that get more calls than others find all
 /// upstreams of their subset full.
 const SUBSET_SIZE: usize = 32;
 
-/// The subset doubles with each search of a call, at most this many times: up to 8,192 upstreams.
-const MAX_DOUBLINGS: u32 = 8;
-
 /// Load reports up to this age are used for another call without a new probe.
 const MAX_REUSED_REPORT_AGE: Duration = Duration::from_millis(3);
 
@@ -68,6 +67,8 @@
     pub baseline: Duration,
     /// Whether the call may be passed to another host.
     pub may_be_passed_on: bool,
+    /// Whether the call may run more than once.
+    pub idempotency: profile::Idempotency,
 }
 
 impl Requirements<'_> {
@@ -77,6 +78,21 @@
         self.target_at.checked_sub(self.baseline.mul_f64(BEST_COST)).unwrap_or(self.target_at)
     }
 
+    /// Returns whether the call may be sent to an upstream by what is known of its room. The fewer
+    /// free slots a report shows, the newer it has to be for an at-most-once call, which must not be
+    /// sent again if the upstream turns out to be full.
+    pub fn has_room(&self, upstream: &upstream::Upstream, now: Instant) -> bool {
+        let Some(report) = upstream.report() else { return false };
+        let free = upstream.slots().saturating_sub(upstream.occupancy());
+        let max_age = match self.idempotency {
+            profile::Idempotency::Idempotent => selection::MAX_REPORT_AGE,
+            profile::Idempotency::AtMostOnce => selection::REPORT_AGE_PER_FREE_SLOT
+                .saturating_mul(free)
+                .min(selection::MAX_REPORT_AGE),
+        };
+        free > 0 && now.saturating_duration_since(report.received_at) <= max_age
+    }
+
     /// Returns whether the call may run now on an upstream of this [cost](selection::cost).
     ///
     /// An upstream that would miss the latency target is accepted only once no other upstream could
@@ -134,6 +150,8 @@
     pub upstream: Rc<upstream::Upstream>,
     /// The [cost](selection::cost) of the upstream when it was chosen.
     pub cost: f64,
+    /// The time that the call is expected to take there.
+    pub expected: Duration,
     /// Number of probed upstreams among which the cheapest was chosen.
     pub candidates: usize,
     /// Age of the upstream's load report when the upstream was chosen.
@@ -246,9 +264,8 @@
                 }
             };
             if may_search {
-                let subset_size = SUBSET_SIZE << searches.min(MAX_DOUBLINGS);
                 searches += 1;
-                match self.search(requirements, service, &queue, subset_size).await {
+                match self.search(requirements, service, &queue).await {
                     Ok(permit) => {
                         ticket.mark_placed(requirements.baseline);
                         return Ok(permit);
@@ -310,14 +327,13 @@
         upstreams
     }
 
-    /// Probes some upstreams of a subset of `subset_size`, and reserves a slot on the cheapest of
-    /// them if its cost is acceptable.
+    /// Probes some upstreams of this host's subset, and reserves a slot on the cheapest of them if
+    /// its cost is acceptable.
     async fn search(
         &self,
         requirements: &Requirements<'_>,
         service: &route::Service,
         queue: &Rc<Queue>,
-        subset_size: usize,
     ) -> Result<Permit, Refusal> {
         let all = self.registry.upstreams_of(requirements.service);
         let now = Instant::now();
@@ -343,27 +359,43 @@
             None => limit::Supply::of(wanting.map(|u| &u.limit), now),
         };
         queue.supply.set(supply);
-        let point = self.members.ring_point(now);
-        self.refresh_limit(&eligible, point, service, now);
+        let assignment = self.members.assignment(now);
+        self.refresh_limit(&eligible, &assignment, service, now);
         let (limited, unlimited): (Vec<_>, Vec<_>) =
             eligible.into_iter().filter(|u| u.admits(now)).partition(|u| u.limit.rate().is_some());
-        let unlimited = selection::subset(unlimited, point, &self.data_centre, subset_size, now);
+        let is_usable = |u: &upstream::Upstream| match selection::has_recent_report(u, now) {
+            true => selection::has_free_slot(u),
+            false => self.prober.may_probe(u, now),
+        };
+        let own = &self.data_centre;
+        let unlimited = selection::subset(unlimited, &assignment, own, SUBSET_SIZE, is_usable, now);
         // No other host uses the admitted calls of limited upstreams.
         let limited_count =
             PROBES_FOR_LIMITED.max(PROBES_PER_SEARCH.saturating_sub(unlimited.len()));
-        let mut probed = selection::sample(&limited, limited_count, now);
+        let effort = |u: &upstream::Upstream| {
+            let may_be_probed = self.prober.may_probe(u, now);
+            let is_recent = selection::has_recent_report(u, now);
+            selection::Effort::of(may_be_probed, u.has_idle(now), is_recent)
+        };
+        let mut probed = selection::sample(&limited, limited_count, effort, now);
         let unlimited_count = PROBES_PER_SEARCH.saturating_sub(probed.len());
-        probed.extend(selection::sample(&unlimited, unlimited_count, now));
+        probed.extend(selection::sample(&unlimited, unlimited_count, effort, now));
         self.refresh_reports(&probed, service).await;
         let now = Instant::now();
         let available: Vec<_> = probed
             .into_iter()
             .filter(|u| u.admits(now) && self.registry.is_eligible(u, now))
+            .filter(|u| requirements.has_room(u, now))
             .collect();
         let available = self.registry.prefer_healthy(available, now);
         let candidates = available.len();
+        let context = selection::Context {
+            data_centre: &self.data_centre,
+            baseline: requirements.baseline,
+            round_trips: &self.prober.round_trips,
+        };
         let (chosen, cost) =
-            selection::cheapest(&available, &self.data_centre, now).ok_or(Refusal::NoCapacity)?;
+            selection::cheapest(&available, &context, now).ok_or(Refusal::NoCapacity)?;
         if !requirements.accepts(cost, now) {
             return Err(Refusal::NoCapacity);
         }
@@ -371,6 +403,7 @@
         Ok(Permit {
             upstream: Rc::clone(chosen),
             cost,
+            expected: requirements.baseline.mul_f64(cost),
             candidates,
             acquired_at: now,
             report_age: chosen.report().map_or(Duration::MAX, |r| now - r.received_at),
@@ -394,19 +427,20 @@
         }
     }
 
-    /// Probes one of the upstreams near this host's ring point that do not admit a call now, but may
-    /// have ceased to name a rate.
+    /// Probes one of the upstreams that this host uses first and that do not admit a call now, but
+    /// may have ceased to name a rate.
     fn refresh_limit(
         &self,
         upstreams: &[&Rc<upstream::Upstream>],
-        point: u64,
+        assignment: &assignment::Assignment,
         service: &route::Service,
         now: Instant,
     ) {
         let is_stale = |u: &&Rc<upstream::Upstream>| u.limit.is_stale(now) && !u.admits(now);
         let stale: Vec<_> = upstreams.iter().copied().filter(is_stale).collect();
-        let near = selection::subset(stale, point, &self.data_centre, SUBSET_SIZE, now);
-        if let Some(upstream) = fastrand::choice(near) {
+        let own = &self.data_centre;
+        let first = selection::subset(stale, assignment, own, SUBSET_SIZE, |_| true, now);
+        if let Some(upstream) = fastrand::choice(first) {
             self.prober.start(upstream, &service.health_path);
         }
     }
--- a/crates/basilhaven/src/gateway/mod.rs
+++ b/crates/basilhaven/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 pub mod relay;
 pub mod retries;
 pub mod room;
+pub mod round_trips;
 pub mod route;
 pub mod run;
 pub mod selection;
--- a/crates/basilhaven/src/gateway/upstream.rs
+++ b/crates/basilhaven/src/gateway/upstream.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::cluster::{self, assignment};
 use super::{contact, limit, memory, notify, pause, probe, protocol, warmup};
 use crate::{budget, finding, http1};
 
@@ -21,6 +22,10 @@
 /// The most idle connections to one upstream, for calls and probes.
 const MAX_IDLE: usize = 4;
 
+/// Time after a send within which a reset counts as that of an upstream that was full: a few round
+/// trips between data centres, less than most calls take.
+const FULL_RESET_TIME: Duration = Duration::from_millis(50);
+
 /// Half-life of recorded failures.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
 
@@ -133,6 +138,8 @@
     /// The id of the upstream.
     pub id: Rc<str>,
     ring_point: u64,
+    /// The place of this host at the upstream, and the epoch of the assignment that it is from.
+    place: Cell<Option<(u64, assignment::Place)>>,
     entry: RefCell<Entry>,
     /// Calls of this host that have not ended.
     in_flight: Cell<u32>,
@@ -164,6 +171,7 @@
         let upstream = Upstream {
             ring_point: rapidhash::v3::rapidhash_v3(id.as_bytes()),
             id,
+            place: Cell::default(),
             in_flight: Cell::default(),
             report: Cell::default(),
             sent_since_report: Cell::default(),
@@ -237,12 +245,30 @@
         }
     }
 
-    /// Returns the upstream's point on the hash ring by which hosts choose their subsets of
-    /// upstreams.
+    /// Returns a hash of the upstream's id, by which hosts divide the upstreams among each other.
     pub fn ring_point(&self) -> u64 {
         self.ring_point
     }
 
+    /// Returns the place of this host at the upstream.
+    pub fn place(&self, assignment: &assignment::Assignment) -> assignment::Place {
+        match self.place.get() {
+            Some((epoch, place)) if epoch == assignment.epoch() => place,
+            _ => {
+                let data_centre = cluster::name_hash(&self.entry().data_centre);
+                let place = assignment.place(self.ring_point, data_centre);
+                self.place.set(Some((assignment.epoch(), place)));
+                place
+            }
+        }
+    }
+
+    /// Returns whether a connection is idle.
+    pub fn has_idle(&self, now: Instant) -> bool {
+        let idle = self.idle.borrow();
+        idle.iter().any(|one| now.saturating_duration_since(one.since) < one.keep_alive)
+    }
+
     /// Returns whether the upstream is in its cold start.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.warmup.is_cold(now)
@@ -423,6 +449,30 @@
         }
     }
 
+    /// Records that the connection of a call that was sent at `sent_at` was reset. If that is what a
+    /// full upstream does, it counts as full until it reports a free slot.
+    pub fn record_reset(&self, sent_at: Instant, now: Instant) {
+        let is_at_once = now.saturating_duration_since(sent_at) <= FULL_RESET_TIME;
+        let Some(report) = self.report.get().filter(|_| is_at_once) else { return };
+        // The call that was reset is among those that this host knows of.
+        if self.occupancy() < self.slots() {
+            return;
+        }
+        metrics::counter!("basilhaven_full_resets_total").increment(1);
+        tracing::info!(
+            event = "full_reset",
+            upstream = &*self.id,
+            running = report.load.running,
+            waiting = report.load.waiting,
+            slots = self.slots(),
+            sent = self.sent_since_report.get(),
+            report_age_ms =
+                sent_at.saturating_duration_since(report.received_at).as_millis() as u64,
+        );
+        let load = protocol::Load { running: self.slots(), ..report.load };
+        self.record_report(load, now);
+    }
+
     /// Drops the recorded failures.
     pub fn forget_failures(&self, now: Instant) {
         self.failures.set((0.0, now));
--- a/crates/basilhaven/tests/gateway/main.rs
+++ b/crates/basilhaven/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod access;
 mod advertised;
 mod cluster;
+mod connections;
 mod datagram;
 mod limits;
 mod memory;
--- a/crates/basilhaven/tests/gateway/room.rs
+++ b/crates/basilhaven/tests/gateway/room.rs
@@ -6,7 +6,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use basilhaven::gateway::round_trips::RoundTrips;
+use basilhaven::gateway::upstream::Upstream;
 use basilhaven::gateway::{balancer, room, selection, shares};
+use basilhaven::profile::Idempotency;
 
 use crate::{load, upstream};
 
@@ -554,8 +557,16 @@
         age: None,
         baseline: ms(220),
         may_be_passed_on: false,
+        idempotency: Idempotency::Idempotent,
     };
-    upstreams.iter().filter(|one| lookup.accepts(selection::cost(one, "a", now), now)).count()
+    let context = selection::Context {
+        data_centre: "a",
+        baseline: ms(220),
+        round_trips: &RoundTrips::default(),
+    };
+    let is_accepted =
+        |one: &&Rc<Upstream>| lookup.accepts(selection::cost(one, &context, now), now);
+    upstreams.iter().filter(is_accepted).count()
 }
 
 /// Guards against calls that wait beside free slots because every upstream has shed calls of late.
