--- a/crates/basilhaven-bench/tests/clients.rs
+++ b/crates/basilhaven-bench/tests/clients.rs
@@ -29,6 +29,9 @@
 const RESERVED_FDS: u64 = 200;
 const CONNECTIONS: usize = 600;
 
+/// Connections one after the other, each with one request.
+const ENDED_CONNECTIONS: usize = 20_000;
+
 /// Clients with large bodies, and how many of them send their whole body; the others stop just
 /// short of its end.
 const CLIENTS: usize = 48;
@@ -349,6 +352,20 @@
     });
 }
 
+/// Guards against a gateway that keeps something of each connection that has ended.
+#[test]
+fn connections_that_have_ended_hold_no_memory() {
+    run_alone(async {
+        let fixture = Fixture::start(MAX_BODY_LEN).await;
+        for _ in 0..ENDED_CONNECTIONS {
+            let mut stream = fixture.host.open().expect("a listening gateway");
+            stream.write_all(b"GET / HTTP/1.1\r\nHost: none.example\r\n\r\n").expect("a gateway");
+            assert_eq!(receive(&mut stream).expect("a response").status, 404);
+        }
+        fixture.check(Vec::new()).await;
+    });
+}
+
 /// Guards against bounds that refuse a request inside the limits of the configuration, and against
 /// copies of a body.
 #[test]
--- a/crates/basilhaven/tests/gateway/main.rs
+++ b/crates/basilhaven/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod memory;
 mod moves;
+mod notify;
 mod partition;
 mod reach;
 mod registry;
