Test of callers that do not read their responses

Cause: the crowds in tests/clients.rs only send; responses are read ahead of slow callers now, which needs a bound.

Change: 48 callers of an upstream whose responses never end, none of which reads.

--- a/crates/basilhaven-bench/tests/clients.rs
+++ b/crates/basilhaven-bench/tests/clients.rs
@@ -16,7 +16,7 @@
 use basilhaven_bench::gateway::{config, receive, Host, SERVICE};
 use basilhaven_bench::standin::block_on;
 use basilhaven_bench::standin::users::store::Store;
-use basilhaven_bench::standin::users::upstream::{Behaviour, Upstream};
+use basilhaven_bench::standin::users::upstream::{Behaviour, Endless, Upstream};
 
 /// The memory of the gateway, in units of 1,000,000 bytes. The crowds would make it hold about three
 /// times as much; at rest it uses about a sixth.
@@ -366,6 +366,22 @@
     });
 }
 
+/// Guards against a gateway that reads without bound ahead of callers that don't read.
+#[test]
+fn responses_that_are_not_read_are_held_within_the_memory() {
+    run_alone(async {
+        let fixture = Fixture::start(MAX_BODY_LEN).await;
+        fixture.upstream.set_behaviour(Behaviour::Endless(Endless::Body));
+        let crowd =
+            play(fixture.host.callers, CLIENTS, |client| vec![head(client, "Content-Length: 0")]);
+        wait_until("the upstream is called", || !fixture.upstream.arrivals().is_empty()).await;
+        // The calls end at their deadlines, 2 s after they arrived.
+        monoio::time::sleep(Duration::from_millis(2500)).await;
+        fixture.upstream.set_behaviour(Behaviour::Serves(Duration::ZERO));
+        fixture.check(crowd).await;
+    });
+}
+
 /// Guards against bounds that refuse a request inside the limits of the configuration, and against
 /// copies of a body.
 #[test]
