Bound the remaining time that tells a call's age by the route's time-out

Callers may name any time. Where most of them named a very long one, all other callers of the route would have counted as returning. The time-out of the route bounds what a call can wait, so it bounds the usual time of a first attempt too.

--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -139,6 +139,7 @@
     }
     // The remaining time of a call that another host passes on is the host's.
     let remaining = frontend.remaining_time(call).filter(|_| task.terms.is_none());
+    let remaining = remaining.map(|time| time.min(route.timeout));
     let age = remaining.and_then(|time| queue.record_deadline(route, time, started));
     let run = Run { frontend, table, task: &task, service: name, queue: &queue, started };
     let mut progress = Progress {
