--- a/crates/basilhaven/tests/gateway/starts.rs
+++ b/crates/basilhaven/tests/gateway/starts.rs
@@ -166,3 +166,25 @@
         }
     }
 }
+
+// Guards against hosts of two builds that do not hear each other during an upgrade.
+#[test]
+fn a_host_that_does_not_say_what_it_knows_is_responded_to_as_before() {
+    let mut restart = Restart::new(7);
+    for number in [0, 1, 2] {
+        restart.start_host(number, 0);
+    }
+    let now = restart.at(1);
+    let members = |number: usize| &restart.hosts[number].as_ref().expect("started").members;
+    let frame = Frame::heartbeats(members(0).next_heartbeat(now).0, Vec::new());
+    let bytes = datagram::encode(&frame).expect("a frame");
+    // The view of one host, which the earlier build does not append, takes two bytes.
+    let (frame, _) = datagram::decode(&bytes[..bytes.len() - 2]).expect("a frame");
+    let Frame::Heartbeats(heartbeats, _) = frame else { panic!("not heartbeats") };
+    let (is_new, responses) = members(1).exchange(address(0), &heartbeats, now);
+    assert!(is_new);
+    assert_eq!(responses.len(), 1);
+    let (is_new, responses) = members(1).exchange(address(0), &heartbeats, now);
+    assert!(!is_new && responses.is_empty(), "nothing is new to it");
+    assert_eq!(members(1).live_count(now), 2);
+}
