Let a new coordinator wait for counts before it closes windows

Cause: if the coordinator and the host that was to replace it are killed together, a third host takes over. It held no counts of the others yet and would have closed a window, for good, with nearly none. Found by review.

Change: for 2 s after a host has become the coordinator, it closes a window only if 0.85 of the time until the report is due has passed.

--- a/crates/basilhaven/src/gateway/usage/counts.rs
+++ b/crates/basilhaven/src/gateway/usage/counts.rs
@@ -16,6 +16,10 @@
 /// arrived; the rest is left for another host to take over the lease.
 const CLOSE_SHARE: f64 = 0.35;
 
+/// [`CLOSE_SHARE`] of a coordinator that may not have received the counts of all hosts yet. The rest
+/// is left for the calls to the store and the endpoint.
+const CLOSE_SHARE_WHILE_GATHERING: f64 = 0.85;
+
 /// Organisations that are kept for one window and host; more are not counted.
 const MAX_ORGANISATIONS: usize = 10_000;
 
@@ -25,6 +29,26 @@
 /// The number of calls of each organisation.
 pub type Counts = BTreeMap<Rc<str>, u64>;
 
+/// Which counts the coordinator has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Gathering {
+    /// It has been the coordinator for so long that all hosts have sent it their counts.
+    Done,
+    /// Hosts may still be about to send it their counts.
+    Ongoing,
+}
+
+impl Gathering {
+    /// Returns the time after a window's end at which its counts are closed, as a share of the time
+    /// in which the report is due.
+    fn close_share(self) -> f64 {
+        match self {
+            Gathering::Done => CLOSE_SHARE,
+            Gathering::Ongoing => CLOSE_SHARE_WHILE_GATHERING,
+        }
+    }
+}
+
 /// When windows begin, end, are closed and are late.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Schedule {
@@ -47,23 +71,14 @@
         Wall::from(Duration::from_nanos(u64::try_from(nanos).unwrap_or(u64::MAX)))
     }
 
-    /// Returns whether the counts of a window are closed.
-    pub fn is_closed(&self, window: Window, now: Wall) -> bool {
-        self.has_passed(window, self.late.mul_f64(CLOSE_SHARE), now)
-    }
-
     /// Returns whether the report on a window is late.
     pub fn is_late(&self, window: Window, now: Wall) -> bool {
-        self.has_passed(window, self.late, now)
-    }
-
-    fn has_passed(&self, window: Window, time: Duration, now: Wall) -> bool {
-        self.end(window).since_epoch().saturating_add(time) <= now.since_epoch()
+        self.end(window).since_epoch().saturating_add(self.late) <= now.since_epoch()
     }
 
     /// Returns the last window whose counts are closed; `None` if there is none.
-    pub fn last_closed(&self, now: Wall) -> Option<Window> {
-        let at = now.before(self.late.mul_f64(CLOSE_SHARE));
+    pub fn last_closed(&self, now: Wall, gathering: Gathering) -> Option<Window> {
+        let at = now.before(self.late.mul_f64(gathering.close_share()));
         self.window_at(at).checked_sub(1)
     }
 
--- a/crates/basilhaven/src/gateway/usage/holder.rs
+++ b/crates/basilhaven/src/gateway/usage/holder.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use super::clock::{Boot, Wall};
-use super::counts::{Ledger, Schedule, Window};
+use super::counts::{Gathering, Ledger, Schedule, Window};
 use super::endpoint::{Answer, Report};
 use super::lease::{self, Lease, Token};
 use super::reports::{Batch, Reports};
@@ -60,12 +60,12 @@
     }
 
     /// Decides on the next call to the store.
-    pub fn step(&self, now: Boot, wall: Wall, ledger: &Ledger) -> Step {
-        match self.lease.plan(now, self.reports.has_pending(wall)) {
+    pub fn step(&self, now: Boot, wall: Wall, (ledger, gathering): (&Ledger, Gathering)) -> Step {
+        match self.lease.plan(now, self.reports.has_pending(wall, gathering)) {
             lease::Plan::Wait => Step::Wait,
             lease::Plan::Read => Step::Read,
             lease::Plan::Write(mut lease) => {
-                let batch = self.reports.batch(&lease, ledger, wall);
+                let batch = self.reports.batch(&lease, (ledger, gathering), wall);
                 lease.row.decided = batch.decided;
                 Step::Write(Box::new(Pending { lease: *lease, batch, started: now }))
             }
--- a/crates/basilhaven/src/gateway/usage/reports.rs
+++ b/crates/basilhaven/src/gateway/usage/reports.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::clock::{Boot, Wall};
-use super::counts::{Counts, Ledger, Schedule, Window};
+use super::counts::{Counts, Gathering, Ledger, Schedule, Window};
 use super::endpoint::Answer;
 use super::lease;
 use crate::gateway::store;
@@ -99,8 +99,8 @@
     }
 
     /// Returns whether rows wait to be created.
-    pub fn has_pending(&self, now: Wall) -> bool {
-        let last = self.schedule.last_closed(now);
+    pub fn has_pending(&self, now: Wall, gathering: Gathering) -> bool {
+        let last = self.schedule.last_closed(now, gathering);
         self.decided.is_some_and(|decided| last > Some(decided)) || self.lost(now).next().is_some()
     }
 
@@ -117,15 +117,22 @@
     ///
     /// With a new lease no report is written. Windows that an earlier holder may have reported
     /// without a trace in the store are given up.
-    pub fn batch(&self, write: &lease::Write, ledger: &Ledger, now: Wall) -> Batch {
-        let last = self.schedule.last_closed(now);
+    pub fn batch(
+        &self,
+        write: &lease::Write,
+        (ledger, gathering): (&Ledger, Gathering),
+        now: Wall,
+    ) -> Batch {
         let mut batch = Batch { decided: self.decided, ..Batch::default() };
         if write.is_acquisition {
             if write.is_history_lost || batch.decided.is_none() {
+                // An earlier holder closes its windows as soon as one can.
+                let last = self.schedule.last_closed(now, Gathering::Done);
                 batch.decided = batch.decided.max(last);
             }
             return batch;
         }
+        let last = self.schedule.last_closed(now, gathering);
         batch.create.extend(self.lost(now).map(|(window, e)| (window, Rc::clone(&e.counts))));
         if let (Some(decided), Some(last)) = (self.decided, last) {
             let first_in_time = self.schedule.first_in_time(now);
--- a/crates/basilhaven/src/gateway/usage/task.rs
+++ b/crates/basilhaven/src/gateway/usage/task.rs
@@ -1,6 +1,6 @@
 //! The tasks that exchange counts, keep the lease and post reports.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -9,7 +9,7 @@
 use monoio::net::udp::UdpSocket;
 
 use super::clock::Boot;
-use super::counts::{Counter, Origin, Schedule};
+use super::counts::{Counter, Gathering, Origin, Schedule};
 use super::endpoint::{Answer, Endpoint, Report};
 use super::holder::{Holder, Step};
 use super::lease;
@@ -32,6 +32,10 @@
 /// yet.
 const DISCOVERY_TIME: Duration = Duration::from_secs(2);
 
+/// How long after it has become the coordinator a host closes windows only if they are about to be
+/// late: within this time the others find out and send it their counts, twice if need be.
+const GATHERING_TIME: Duration = Duration::from_secs(2);
+
 /// Timeout of a call to the store, as a share of the lease's length.
 const STORE_TIMEOUT_SHARE: f64 = 0.3;
 
@@ -56,6 +60,8 @@
     /// When each other host last sent its own counts.
     heard: RefCell<IndexMap<Origin, Instant>>,
     holder: RefCell<Holder>,
+    /// Since when this host has been the coordinator; `None` if it is not.
+    coordinator_since: Cell<Option<Instant>>,
 }
 
 impl Usage {
@@ -73,6 +79,7 @@
             outbox: RefCell::default(),
             heard: RefCell::default(),
             holder: RefCell::new(Holder::new(&settings, name, origin.incarnation)),
+            coordinator_since: Cell::default(),
         }
     }
 
@@ -149,6 +156,16 @@
         }
     }
 
+    /// Returns whether this host has the counts of all hosts.
+    fn gathering(&self, now: Instant) -> Gathering {
+        let since = self.coordinator_since.get();
+        let is_long = |since| now.saturating_duration_since(since) >= GATHERING_TIME;
+        match since.is_some_and(is_long) {
+            true => Gathering::Done,
+            false => Gathering::Ongoing,
+        }
+    }
+
     /// Makes the next call to the store, if one is due.
     async fn advance<S>(&self, store: &S)
     where
@@ -157,7 +174,8 @@
         let started = Boot::now();
         let step = {
             let ledger = self.counter.ledger.borrow();
-            self.holder.borrow().step(started, self.counter.clock.now(), &ledger)
+            let counts = (&*ledger, self.gathering(Instant::now()));
+            self.holder.borrow().step(started, self.counter.clock.now(), counts)
         };
         let limit = self.settings.lease.mul_f64(STORE_TIMEOUT_SHARE);
         let result = match step {
@@ -238,9 +256,12 @@
         let is_coordinator = members.state() == cluster::State::Ready
             && members.uptime(now) >= DISCOVERY_TIME
             && members.remote_coordinator(now).is_none();
-        match is_coordinator {
-            true => usage.advance(&*store).await,
-            false => usage.holder.borrow_mut().forget(),
+        if is_coordinator {
+            usage.coordinator_since.set(usage.coordinator_since.get().or(Some(now)));
+            usage.advance(&*store).await;
+        } else {
+            usage.coordinator_since.set(None);
+            usage.holder.borrow_mut().forget();
         }
         if usage.holder.borrow().holds(Boot::now()) {
             usage.log_missed();
--- a/crates/basilhaven/tests/gateway/usage_counts.rs
+++ b/crates/basilhaven/tests/gateway/usage_counts.rs
@@ -7,7 +7,9 @@
 use basilhaven::gateway::cluster::datagram::{decode, encode, Frame, MAX_DATAGRAM_LEN};
 use basilhaven::gateway::cluster::{Members, Record, State};
 use basilhaven::gateway::usage::clock::{Clock, Reading, Wall};
-use basilhaven::gateway::usage::counts::{Counter, Counts, Ledger, Origin, Schedule, Window};
+use basilhaven::gateway::usage::counts::{
+    Counter, Counts, Gathering, Ledger, Origin, Schedule, Window,
+};
 use basilhaven::gateway::usage::message::{Message, Outbox, Part, Target};
 use basilhaven::gateway::usage::{task::Usage, Settings};
 use quickcheck::quickcheck;
@@ -75,15 +77,16 @@
     assert_eq!(SCHEDULE.window_at(at(1_767_225_600.0)), window);
     assert_eq!(SCHEDULE.window_at(at(1_767_225_604.999)), window);
     assert_eq!(SCHEDULE.end(window), at(1_767_225_605.0));
-    assert!(!SCHEDULE.is_closed(window, at(1_767_225_608.4)));
-    assert!(SCHEDULE.is_closed(window, at(1_767_225_608.6)));
+    let last_closed = |time, gathering| SCHEDULE.last_closed(at(time), gathering);
+    assert_eq!(last_closed(1_767_225_608.4, Gathering::Done), Some(window - 1));
+    assert_eq!(last_closed(1_767_225_608.6, Gathering::Done), Some(window));
+    assert_eq!(last_closed(1_767_225_613.4, Gathering::Ongoing), Some(window - 1));
+    assert_eq!(last_closed(1_767_225_613.6, Gathering::Ongoing), Some(window));
     assert!(!SCHEDULE.is_late(window, at(1_767_225_614.9)));
     assert!(SCHEDULE.is_late(window, at(1_767_225_615.0)));
     let now = at(1_767_225_615.0);
     assert!(SCHEDULE.is_late(SCHEDULE.first_in_time(now) - 1, now));
     assert!(!SCHEDULE.is_late(SCHEDULE.first_in_time(now), now));
-    let closed = SCHEDULE.last_closed(now).expect("a window");
-    assert!(SCHEDULE.is_closed(closed, now) && !SCHEDULE.is_closed(closed + 1, now));
 }
 
 // Guards against calls that are counted in wrong windows, or reports that seem late, because the
--- a/crates/basilhaven/tests/gateway/usage_holder.rs
+++ b/crates/basilhaven/tests/gateway/usage_holder.rs
@@ -10,7 +10,7 @@
     self, Revision, UsageReport, UsageRows, UsageWrite, UsageWritten,
 };
 use basilhaven::gateway::usage::clock::{Boot, Wall};
-use basilhaven::gateway::usage::counts::{Counts, Ledger, Origin, Window};
+use basilhaven::gateway::usage::counts::{Counts, Gathering, Ledger, Origin, Window};
 use basilhaven::gateway::usage::endpoint::{Answer, Report};
 use basilhaven::gateway::usage::holder::{Holder, Pending, Step};
 use basilhaven::gateway::usage::lease::{self, Event, Token};
@@ -133,13 +133,14 @@
     incarnation: u64,
     holder: Holder,
     ledger: Ledger,
+    gathering: Gathering,
 }
 
 impl Host {
     fn new(name: &str, incarnation: u64) -> Host {
         let name = name.into();
         let holder = Holder::new(&settings(), &name, incarnation);
-        Host { name, incarnation, holder, ledger: Ledger::default() }
+        Host { name, incarnation, holder, ledger: Ledger::default(), gathering: Gathering::Done }
     }
 
     fn count(&mut self, window: Window, organisation: &str, calls: u64) {
@@ -148,9 +149,13 @@
         self.ledger.merge(window, origin, [(organisation.into(), calls)]);
     }
 
+    fn step(&self, now: u64) -> Step {
+        self.holder.step(boot(now), wall(now), (&self.ledger, self.gathering))
+    }
+
     /// Makes the next call to the store, if one is due; returns a write that is not done yet.
     fn advance(&mut self, store: &mut Store, now: u64, fate: Fate) -> Option<Box<Pending>> {
-        match self.holder.step(boot(now), wall(now), &self.ledger) {
+        match self.step(now) {
             Step::Wait => None,
             Step::Read if fate == Fate::Answered => {
                 self.holder.apply_read(&store.read(now), boot(now), boot(now));
@@ -403,26 +408,63 @@
 // the next one has other counts.
 #[test]
 fn after_a_restore_a_new_holder_gives_up_windows_that_may_have_been_reported() {
-    let (mut killed, mut store, now) = holder();
-    let copy = store.rows.clone();
-    killed.advance_over(&mut store, now, 8_700);
-    assert!(killed.next_report(8_700).is_some());
+    for gathering in [Gathering::Done, Gathering::Ongoing] {
+        let (mut killed, mut store, now) = holder();
+        let copy = store.rows.clone();
+        killed.advance_over(&mut store, now, 8_700);
+        assert!(killed.next_report(8_700).is_some());
+        store.restore(&copy);
+        let mut next = Host { gathering, ..Host::new("front-b-1", 2) };
+        next.count(window(0), "kaje80", 3);
+        let mut first = None;
+        for now in (8_800..30_000).step_by(100) {
+            next.advance(&mut store, now, Fate::Answered);
+            first = first.or_else(|| next.next_report(now));
+        }
+        assert_eq!(first.map(|report| report.window), Some(window(1)), "{gathering:?}");
+    }
+}
+
+// Guards against a former holder that still acts on its lease while another host has a higher token.
+#[test]
+fn after_a_restore_another_host_waits_for_the_end_of_the_former_holders_lease() {
+    let (mut former, mut store, now) = holder();
+    let copy = Rows { revision: 41, ..Rows::default() };
+    former.advance_over(&mut store, now, 8_700);
+    let token = former.token(8_700).expect("a lease");
     store.restore(&copy);
     let mut next = Host::new("front-b-1", 2);
-    next.count(window(0), "kaje80", 3);
-    let mut first = None;
-    for now in (8_800..30_000).step_by(100) {
+    let mut acquired = None;
+    for now in (8_800..15_000).step_by(100) {
         next.advance(&mut store, now, Fate::Answered);
-        first = first.or_else(|| next.next_report(now));
+        assert!(!(next.holder.holds(boot(now)) && former.holder.may_send(token, boot(now))));
+        acquired = acquired.or(next.token(now));
     }
-    assert_eq!(first.map(|report| report.window), Some(window(1)));
+    assert!(acquired > Some(token));
+}
+
+// Guards against a report that lacks most counts because the coordinator and the host that was to
+// replace it were killed together.
+#[test]
+fn a_new_coordinator_waits_for_the_counts_of_the_others_unless_the_window_is_nearly_late() {
+    let (mut host, mut store, now) = holder();
+    host.gathering = Gathering::Ongoing;
+    host.advance_over(&mut store, now, 13_400);
+    assert_eq!(host.next_report(13_400), None);
+    host.count(window(0), "kaje80", 412);
+    host.advance_over(&mut store, 13_500, 13_700);
+    let report = host.next_report(13_700).expect("a report");
+    assert_eq!((report.window, report.counts.get("kaje80")), (window(0), Some(&412)));
+    host.gathering = Gathering::Done;
+    host.advance_over(&mut store, 13_800, 13_900);
+    assert!(store.rows.reports.contains_key(&window(1)));
 }
 
 #[test]
 fn while_the_store_is_away_no_lease_is_renewed_and_afterwards_late_windows_are_missed() {
     let (mut host, mut store, now) = holder();
     for now in (now..30_000).step_by(100) {
-        if let Step::Read | Step::Write(_) = host.holder.step(boot(now), wall(now), &host.ledger) {
+        if let Step::Read | Step::Write(_) = host.step(now) {
             host.holder.apply_failure(&store::Error::Unavailable, boot(now));
         }
     }
@@ -544,6 +586,7 @@
         if now >= CALM_AT {
             for (index, host) in self.hosts.iter_mut().enumerate() {
                 host.is_coordinator = index == 0;
+                host.host.gathering = Gathering::Done;
             }
             return;
         }
@@ -562,6 +605,10 @@
                 host.is_coordinator = !host.is_coordinator;
                 host.host.holder.forget();
             }
+            if self.happens(0.02, now) {
+                let gatherings = [Gathering::Done, Gathering::Ongoing];
+                self.hosts[index].host.gathering = gatherings[self.random.usize(..2)];
+            }
             if self.happens(0.004, now) {
                 self.hosts[index].paused_until = now + self.random.u64(200..8_000);
             }
@@ -623,7 +670,7 @@
             return;
         }
         let simulated = &self.hosts[index];
-        let call = match simulated.host.holder.step(boot(now), wall(now), &simulated.host.ledger) {
+        let call = match simulated.host.step(now) {
             Step::Wait => return,
             Step::Read => Call::Read(now),
             Step::Write(write) if write.rows().expected.era.number() < simulated.era => {
