Test of a killed holder: send counts of one origin to all hosts

Cause: the test sent each host the same counts from another socket, so they had three origins.

Change: one socket sends to all hosts, so that the counts have one origin.

--- a/crates/basilhaven-bench/tests/gateway/usage.rs
+++ b/crates/basilhaven-bench/tests/gateway/usage.rs
@@ -43,8 +43,8 @@
     SystemTime::now().duration_since(UNIX_EPOCH).expect("a time after 1970").as_secs()
 }
 
-/// Sends counts for a window to a host, as another host does, until it acknowledges them.
-fn send_counts(ip: Ipv4Addr, port: u16, window: u64, counts: &[(&str, u64)]) {
+/// Sends counts for a window to all hosts, as another host does, until they acknowledge them.
+fn send_counts(network: &Network, window: u64, counts: &[(&str, u64)]) {
     let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
     socket.set_read_timeout(Some(Duration::from_millis(300))).expect("a socket option");
     let origin = Origin { host: socket.local_addr().expect("a bound socket"), incarnation: 1 };
@@ -52,12 +52,16 @@
     let frame = Frame::Usage(Message::Counts(Part { number: 5, origin, window, counts }));
     let bytes = encode(&frame).expect("plain data");
     let mut buffer = [0; 4096];
-    let is_acknowledged = |_| {
-        socket.send_to(&bytes, SocketAddr::from((ip, port))).expect("a sent datagram");
-        let len = socket.recv(&mut buffer).unwrap_or(0);
-        decode(&buffer[..len]).is_ok_and(|(reply, _)| reply == Frame::Usage(Message::Received(5)))
-    };
-    assert!((0..30).any(is_acknowledged), "{ip} does not acknowledge counts");
+    for ip in &network.ips {
+        let host = SocketAddr::from((*ip, network.port));
+        let is_acknowledged = |_| {
+            socket.send_to(&bytes, host).expect("a sent datagram");
+            let (len, from) = socket.recv_from(&mut buffer).unwrap_or((0, host));
+            let reply = decode(&buffer[..len]).map(|(reply, _)| reply);
+            from == host && reply == Ok(Frame::Usage(Message::Received(5)))
+        };
+        assert!((0..30).any(is_acknowledged), "{host} does not acknowledge counts");
+    }
 }
 
 /// Checks what must hold of all reports: one content for each window, no window left out, one
@@ -100,9 +104,7 @@
         let asked = |host: &&Host| host.process.event_count("lease_acquired") > 0;
         assert_eq!(hosts.iter().filter(asked).count(), 1, "only the coordinator takes the lease");
         let open = window();
-        for ip in &network.ips {
-            send_counts(*ip, network.port, open, &[("kaje80", 412), ("vopu11", 7)]);
-        }
+        send_counts(&network, open, &[("kaje80", 412), ("vopu11", 7)]);
         let killed = (0..hosts.len()).find(|number| format!("front-{number}") == holder);
         hosts[killed.expect("one of the hosts")].process.signal(Signal::Kill);
         let after = open + 3;
