Tests of usage reports: a paused holder, calls to the store, odd messages

Cause: a pause was tested only without processes, the number of calls to the store was not tested, nor were messages that no host of this build sends.

Change: a test with two processes of which the holder is paused until the other one reports; a bound of one renewal a second and one row for each window; messages of arbitrary bytes and counts.

The bound fails if the lease is renewed twice as often, and the odd messages fail if sums may overflow.

--- a/crates/basilhaven-bench/tests/gateway/usage.rs
+++ b/crates/basilhaven-bench/tests/gateway/usage.rs
@@ -192,6 +192,30 @@
     });
 }
 
+// Guards against a holder that resumes after a pause and posts with a lease that another host has
+// taken meanwhile.
+#[test]
+fn a_holder_that_was_paused_does_not_post_with_its_old_token() {
+    block_on(async {
+        let (store, endpoint) = (Store::start(), Endpoint::start());
+        let hosts = start(&store, &endpoint, &Network::new(74, 2)).await;
+        wait_until("two windows are reported", || endpoint.reports().len() >= 2).await;
+        let first = endpoint.reports()[0].holder.clone();
+        let paused = (0..hosts.len()).find(|number| format!("front-{number}") == first);
+        let paused = &hosts[paused.expect("one of the hosts")];
+        paused.process.signal(Signal::Stop);
+        let is_taken = || endpoint.reports().last().is_some_and(|last| last.holder != first);
+        wait_until("the other host reports", is_taken).await;
+        paused.process.signal(Signal::Continue);
+        let next = window() + 3;
+        wait_until("reports go on after the pause", || is_reported(&endpoint, next)).await;
+        assert!(paused.process.event_count("lease_lost") > 0);
+        assert_eq!(endpoint.refused(), 0, "a report with a token lower than one before");
+        assert_eq!(missing(&endpoint), Vec::<u64>::new());
+        check(&endpoint);
+    });
+}
+
 #[test]
 fn without_an_endpoint_the_part_is_off_and_says_so() {
     block_on(async {
--- a/crates/basilhaven/tests/gateway/usage_counts.rs
+++ b/crates/basilhaven/tests/gateway/usage_counts.rs
@@ -163,6 +163,29 @@
         merged(&messages) == expected
     }
 
+    // Guards against a host that is stopped by a message that no host of this build sends.
+    fn hostile_messages_do_no_harm(bytes: Vec<u8>, windows: Vec<u64>) -> bool {
+        let usage = usage(1);
+        let now = Instant::now();
+        let frame = [&[2, 0][..], &bytes].concat();
+        if let Ok((Frame::Usage(message), _)) = decode(&frame) {
+            usage.apply(address(2), message, now);
+        }
+        for window in windows {
+            let window = SCHEDULE.window_at(usage.counter.clock.now()).wrapping_sub(window % 4);
+            for host in [2, 3] {
+                let counts = vec![("".into(), u64::MAX), ("kaje80".into(), u64::MAX)];
+                let part = Part { number: window, origin: origin(host), window, counts };
+                usage.apply(address(3), Message::Counts(part), now);
+            }
+            usage.apply(address(3), Message::Received(window), now);
+            usage.outgoing(&[target(3)], now);
+        }
+        let ledger = usage.counter.ledger.borrow();
+        let windows: Vec<Window> = ledger.iter().map(|(window, _, _)| window).collect();
+        windows.iter().all(|window| !ledger.total(*window).is_empty())
+    }
+
     // Guards against frames that are dropped because organisations have many or long names.
     fn parts_fit_into_frames_and_together_have_all_counts(names: u8, len: u8) -> bool {
         let mut ledger = Ledger::default();
--- a/crates/basilhaven/tests/gateway/usage_holder.rs
+++ b/crates/basilhaven/tests/gateway/usage_holder.rs
@@ -376,6 +376,23 @@
     assert!(again.token > report.token);
 }
 
+// Guards against calls to the store beyond one renewal a second and one row for each window; they
+// are charged for.
+#[test]
+fn a_holder_calls_the_store_about_once_a_second() {
+    let (mut host, mut store, now) = holder();
+    let mut calls = 0;
+    for now in (now..now + 60_000).step_by(100) {
+        calls += u32::from(!matches!(host.step(now), Step::Wait));
+        host.advance(&mut store, now, Fate::Answered);
+        if let Some(report) = host.next_report(now) {
+            host.holder.apply_answer(&report, Answer::Taken, boot(now));
+        }
+    }
+    assert!(calls <= 60 + 12, "{calls} calls in 60 s");
+    assert!(store.rows.reports.len() <= 1, "{:?}", store.rows.reports);
+}
+
 #[test]
 fn of_two_hosts_that_do_not_hear_each_other_one_holds_the_lease() {
     let (mut a, mut store, now) = holder();
