--- a/crates/basilhaven-bench/tests/gateway/main.rs
+++ b/crates/basilhaven-bench/tests/gateway/main.rs
@@ -18,3 +18,4 @@
 mod restore;
 mod starts;
 mod stranded;
+mod usage;
--- a/crates/basilhaven/src/gateway/frontend.rs
+++ b/crates/basilhaven/src/gateway/frontend.rs
@@ -12,7 +12,7 @@
 
 use super::{
     access, attempt, balancer, cluster, config, forward, memory, notify, protocol, relay, retries,
-    route, shaper,
+    route, shaper, usage,
 };
 use crate::http1::{self, body, head};
 use crate::profile;
@@ -58,6 +58,8 @@
     pub balancer: balancer::Balancer,
     /// Passes calls that this host cannot place to other hosts.
     pub forwarder: forward::Forwarder,
+    /// Counts the calls of organisations for usage reports.
+    pub usage: Rc<usage::Counter>,
     /// The hosts of the system, as this host sees them.
     pub members: Rc<cluster::Members>,
     /// Bounds what is held for callers.
--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -245,6 +245,9 @@
         let (route, call) = (self.task.route, self.task.call);
         let entered = self.enter_transit(&permit.upstream).await;
         let sent_at = Instant::now();
+        // A call is counted once, when it first may have run.
+        let counted = call.organisation.as_ref().filter(|_| progress.reply.is_none());
+        let running = frontend.usage.begin(counted, sent_at);
         let outcome = match entered {
             Ok(_entered) => {
                 let outbound = frontend.outbound_shaper();
@@ -253,6 +256,10 @@
             }
             Err(cause) => attempt::Outcome::NotRun(cause),
         };
+        match outcome {
+            attempt::Outcome::NotRun(_) => running.turned_away(),
+            attempt::Outcome::Answered(_) | attempt::Outcome::Unknown(_) => drop(running),
+        }
         let waited = sent_at.saturating_duration_since(self.started);
         log_attempt(call, route, table, &permit, &outcome, (waited, sent_at.elapsed()));
         record_evidence(frontend, self.service, route, &permit, &outcome, sent_at.elapsed());
--- a/crates/basilhaven/src/gateway/mod.rs
+++ b/crates/basilhaven/src/gateway/mod.rs
@@ -41,4 +41,5 @@
 pub mod store;
 pub mod updates;
 pub mod upstream;
+pub mod usage;
 pub mod warmup;
--- a/crates/basilhaven/tests/gateway/main.rs
+++ b/crates/basilhaven/tests/gateway/main.rs
@@ -19,6 +19,8 @@
 mod shaper;
 mod starts;
 mod updates;
+mod usage_counts;
+mod usage_holder;
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
