Test refusals for lack of room on real processes

The test guards against calls that wait to the end of their deadline for room that is not to be expected.

--- a/crates/basilhaven-bench/tests/gateway/main.rs
+++ b/crates/basilhaven-bench/tests/gateway/main.rs
@@ -13,4 +13,5 @@
 mod pipelining;
 mod responses;
 mod restore;
+mod room;
 mod stranded;
