--- a/crates/basilhaven-bench/tests/gateway/main.rs
+++ b/crates/basilhaven-bench/tests/gateway/main.rs
@@ -17,5 +17,6 @@
 mod responses;
 mod restore;
 mod starts;
+mod room;
 mod stranded;
 mod usage;
