Judge whether an upstream may be probed by the present share of probes

Cause: the search asked whether an upstream may be probed by the rate that was set at its last probe.

Change: each search sets the share of the probes of the eligible upstreams, as it does for cold ones.

--- a/crates/basilhaven/src/gateway/balancer.rs
+++ b/crates/basilhaven/src/gateway/balancer.rs
@@ -391,7 +391,11 @@
         let now = Instant::now();
         let eligible: Vec<_> = all.iter().filter(|u| self.registry.is_eligible(u, now)).collect();
         let share = self.members.budget_share(now);
-        eligible.iter().for_each(|u| u.warmup.set_rate(service.cold_rate, share));
+        for upstream in &eligible {
+            upstream.warmup.set_rate(service.cold_rate, share);
+            // The share may have been lower when the upstream was last probed.
+            self.prober.set_share(upstream, share);
+        }
         self.divide_limits(&eligible, now);
         let eligible = self.moves.choose_version(requirements.service, eligible, now);
         let eligible = self.registry.prefer_healthy(eligible, now);
--- a/crates/basilhaven/src/gateway/probe.rs
+++ b/crates/basilhaven/src/gateway/probe.rs
@@ -46,7 +46,13 @@
         Prober { protocol, rate, members, round_trips: round_trips::RoundTrips::default() }
     }
 
-    /// Returns whether this host may probe an upstream now, by its share of the permitted rate.
+    /// Sets this host's share of the probes of an upstream.
+    pub fn set_share(&self, upstream: &upstream::Upstream, share: f64) {
+        upstream.probes.set_rate(self.rate * USED_SHARE * share);
+    }
+
+    /// Returns whether this host may probe an upstream now, by its [share](Prober::set_share) of
+    /// the permitted rate.
     pub fn may_probe(&self, upstream: &upstream::Upstream, now: Instant) -> bool {
         upstream.is_probe_pending.get()
             || !upstream.pause.is_active(now) && upstream.probes.tokens(now) >= 1.0
@@ -56,8 +62,7 @@
     /// left.
     fn try_take_token(&self, upstream: &upstream::Upstream) -> bool {
         let now = Instant::now();
-        let share = self.members.budget_share(now);
-        upstream.probes.set_rate(self.rate * USED_SHARE * share);
+        self.set_share(upstream, self.members.budget_share(now));
         upstream.probes.try_take(1.0)
     }
 
--- a/crates/basilhaven/src/gateway/selection.rs
+++ b/crates/basilhaven/src/gateway/selection.rs
@@ -167,7 +167,8 @@
 }
 
 /// Returns the `count` candidates to probe: those with the fewest calls in flight from this host
-/// plus recent failures, and of these the ones with the least `effort`, ties in random order.
+/// plus recent failures, and of these the ones with the least `effort`. They are
+/// returned in random order.
 pub fn sample<'a, F>(
     candidates: &[&'a Rc<upstream::Upstream>],
     count: usize,
@@ -182,6 +183,8 @@
         (u.in_flight() + u.failures(now) as u32, effort(u), fastrand::u32(..))
     });
     order.truncate(count);
+    // Of upstreams with equal costs the first one is chosen.
+    fastrand::shuffle(&mut order);
     order
 }
 
