Refuse a call whose body ends too late before the host exits

Since refusals are decided before the body is read, a host that was told to stop while a body arrived went on with a call that its exit would abort. Whether the time suffices is now checked again once the body has been read. The test got a closed connection in place of a response before.

--- a/crates/basilhaven/src/gateway/frontend.rs
+++ b/crates/basilhaven/src/gateway/frontend.rs
@@ -352,9 +352,7 @@
         return unread.respond(conn, status, persistence()).await;
     }
     let deadline = deadline(frontend, &request, &admission.route, started);
-    if frontend.exit_at.get().is_some_and(|end| deadline + RESPONSE_MARGIN > end) {
-        let id = id_text(frontend, &request);
-        tracing::info!(event = "stopping_too_soon", id, route = &*admission.route.name);
+    if stops_before(frontend, deadline, &request, &admission.route) {
         let reply = attempts::Reply::refused();
         return unread.reply(frontend, conn, reply, Persistence::Close, source).await;
     }
@@ -384,6 +382,11 @@
     };
     share.set_phase(memory::Phase::Serving);
     release_buffer(conn, conn_share);
+    // The host may have begun to stop while the body arrived.
+    if stops_before(frontend, deadline, &request, &admission.route) {
+        let reply = attempts::Reply::refused();
+        return deliver(frontend, conn, reply, Persistence::Close, source).await;
+    }
     // The route or the key may have been removed while the body arrived.
     let admission = match frontend.config.table() {
         Some(newer) if !Rc::ptr_eq(&newer, &admission.table) => {
@@ -429,6 +432,22 @@
     deliver(frontend, conn, reply, persistence(), source).await
 }
 
+/// Returns whether this host exits before a call with this deadline is sure to have ended, and logs
+/// that.
+fn stops_before(
+    frontend: &Frontend,
+    deadline: Instant,
+    request: &head::Request,
+    route: &route::Route,
+) -> bool {
+    let is_too_late = frontend.exit_at.get().is_some_and(|end| deadline + RESPONSE_MARGIN > end);
+    if is_too_late {
+        let id = id_text(frontend, request);
+        tracing::info!(event = "stopping_too_soon", id, route = &*route.name);
+    }
+    is_too_late
+}
+
 /// Returns the request id for log lines; empty if there is none.
 fn id_text<'a>(frontend: &Frontend, request: &'a head::Request) -> &'a str {
     let id = request.parts.headers.get(&frontend.protocol.headers.request_id);
