--- a/crates/basilhaven/src/gateway/room.rs
+++ b/crates/basilhaven/src/gateway/room.rs
@@ -433,13 +433,13 @@
     /// Decides what a waiting call does next.
     ///
     /// A call that can still be in time searches in its turn while more slots are free than are
-    /// reserved for higher priorities; one of a starved priority always does. One that cannot be in
-    /// time takes a
-    /// slot only while room is idle: a late response is worth little, and the slot would make a
-    /// timely call of another host late. It is refused once there has been no idle room for as long
-    /// as it could still wait, since none is to be expected before its deadline then. Where callers
-    /// that return can't be told from new ones, it waits to the end instead: they would take the
-    /// slots of calls that can still be in time.
+    /// reserved for higher priorities; one of a starved priority always does.
+    ///
+    /// One that cannot be in time takes a slot only while room is idle: a late response is worth
+    /// little, and the slot would make a timely call of another host late. It is refused once there
+    /// has been no idle room for as long as it could still wait, since none is to be expected before
+    /// its deadline then. Where callers that return can't be told from new ones, it waits to the end
+    /// instead: they would take the slots of calls that can still be in time.
     pub fn decide(&self, call: &Call, now: Instant) -> Decision {
         let Some(scarcity) = self.scarcity(now) else { return Decision::Search };
         if self.is_starved(call.priority) {
