Tell starting hosts how old the heartbeats of others are

A young host is sent the heartbeats of all hosts that the sender takes for live, those that are about to count as dead among them.

The age of each heartbeat is appended to the frame, which earlier builds ignore, and a host that was not known counts as heard of that long ago. The test failed before: the dead host was live after 2.5 s of silence.

--- a/crates/basilhaven/src/gateway/cluster.rs
+++ b/crates/basilhaven/src/gateway/cluster.rs
@@ -131,6 +131,11 @@
     /// What the host says of the hosts that it knows; sent after the frame.
     #[serde(skip)]
     view: View,
+    /// The time since the sender received this heartbeat, in milliseconds; sent after the frame. A
+    /// host that has just started would otherwise take a host for live that has been dead for
+    /// seconds, until it has been silent for as long again.
+    #[serde(skip)]
+    age_ms: u32,
 }
 
 /// What the sender of a datagram says of the hosts that it knows.
@@ -257,6 +262,7 @@
             capacity,
             reach: reach::Reach::All,
             view: View::default(),
+            age_ms: 0,
         };
         Members {
             own: Cell::new(own),
@@ -384,11 +390,16 @@
             };
             if is_newer {
                 let mut heartbeat = heartbeat;
-                if let Some(known) = peers.get(&heartbeat.peer_addr()) {
-                    heartbeat.keep_known(&known.heartbeat);
+                let mut received_at = now;
+                match peers.get(&heartbeat.peer_addr()) {
+                    Some(known) => heartbeat.keep_known(&known.heartbeat),
+                    // A known host has been heard of with its earlier heartbeats.
+                    None => {
+                        let age = Duration::from_millis(heartbeat.age_ms.into());
+                        received_at = now.checked_sub(age).unwrap_or(now);
+                    }
                 }
-                let known =
-                    peers.insert(heartbeat.peer_addr(), Peer { heartbeat, received_at: now });
+                let known = peers.insert(heartbeat.peer_addr(), Peer { heartbeat, received_at });
                 let is_known =
                     known.is_some_and(|known| known.heartbeat.incarnation == heartbeat.incarnation);
                 let has_same_state = known.is_some_and(|known| {
@@ -491,7 +502,11 @@
         let peers = self.peers.borrow();
         let mut others: Vec<&Peer> = self.live_among(&peers, now).collect();
         others.sort_by_key(|peer| std::cmp::Reverse(peer.received_at));
-        std::iter::once(self.own.get()).chain(others.iter().map(|peer| peer.heartbeat)).collect()
+        let with_age = |peer: &&Peer| {
+            let age = now.saturating_duration_since(peer.received_at).as_millis();
+            Heartbeat { age_ms: u32::try_from(age).unwrap_or(u32::MAX), ..peer.heartbeat }
+        };
+        std::iter::once(self.own.get()).chain(others.iter().map(with_age)).collect()
     }
 
     /// Returns the other hosts that are ready: those of this data centre or, if it has none, those
--- a/crates/basilhaven/src/gateway/cluster/datagram.rs
+++ b/crates/basilhaven/src/gateway/cluster/datagram.rs
@@ -173,8 +173,8 @@
     }
 }
 
-/// Encodes a frame, followed by the eras of the steps, the reach of the hosts in it and the sender's
-/// view: earlier builds ignore what follows a frame.
+/// Encodes a frame, followed by the eras of the steps, the reach of the hosts in it, the sender's view
+/// and the ages of the heartbeats: earlier builds ignore what follows a frame.
 ///
 /// # Errors
 ///
@@ -189,6 +189,8 @@
         bytes.extend(postcard::to_stdvec(&reaches)?);
         if let Some(own) = heartbeats.first() {
             bytes.extend(postcard::to_stdvec(&own.view)?);
+            let ages: Vec<u32> = heartbeats.iter().map(|h| h.age_ms).collect();
+            bytes.extend(postcard::to_stdvec(&ages)?);
         }
     }
     Ok(bytes)
@@ -210,7 +212,15 @@
             rest => postcard::take_from_bytes::<Vec<reach::Reach>>(rest)?,
         };
         if let (Some(own), false) = (heartbeats.first_mut(), rest.is_empty()) {
-            own.view = postcard::from_bytes(rest)?;
+            let (view, rest) = postcard::take_from_bytes(rest)?;
+            own.view = view;
+            let ages: Vec<u32> = match rest {
+                [] => Vec::new(),
+                rest => postcard::from_bytes(rest)?,
+            };
+            for (heartbeat, age_ms) in heartbeats.iter_mut().zip(ages) {
+                heartbeat.age_ms = age_ms;
+            }
         }
         for (heartbeat, reach) in heartbeats.iter_mut().zip(reaches) {
             heartbeat.reach = reach;
--- a/crates/basilhaven/tests/gateway/cluster.rs
+++ b/crates/basilhaven/tests/gateway/cluster.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use basilhaven::gateway::cluster::datagram::Frame;
+use basilhaven::gateway::cluster::datagram::{self, Frame};
 use basilhaven::gateway::cluster::{name_hash, Heartbeat, Members, Record, State};
 
 fn address(host: u8, port: u16) -> SocketAddr {
@@ -202,3 +202,22 @@
         assert!(crossed <= 0.4, "{crossed} of the datagrams crossed data centres");
     }
 }
+
+/// Guards against hosts that have just started and name a dead host to callers for seconds: they
+/// took a heartbeat that another host had kept for a new one.
+#[test]
+fn a_starting_host_does_not_take_an_old_heartbeat_for_a_new_one() {
+    let start = Instant::now();
+    let (known, dead) = (member(1, "a", start), member(2, "a", start));
+    known.merge(address(2, 7000), &heartbeats(&dead, start), start);
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let starting = member(3, "a", at(1500));
+    let kept = datagram::encode(&Frame::heartbeats(heartbeats(&known, at(1500)), Vec::new()));
+    let Ok((Frame::Heartbeats(kept, _), _)) = datagram::decode(&kept.expect("a frame")) else {
+        panic!("not heartbeats");
+    };
+    starting.merge(address(1, 7000), &kept, at(1500));
+    assert_eq!(starting.live_count(at(1600)), 3);
+    starting.merge(address(1, 7000), &heartbeats(&known, at(2500)), at(2500));
+    assert_eq!(starting.live_count(at(2500)), 2, "silent for 2.5 s");
+}
--- a/crates/basilhaven/tests/gateway/starts.rs
+++ b/crates/basilhaven/tests/gateway/starts.rs
@@ -178,8 +178,9 @@
     let members = |number: usize| &restart.hosts[number].as_ref().expect("started").members;
     let frame = Frame::heartbeats(members(0).next_heartbeat(now).0, Vec::new());
     let bytes = datagram::encode(&frame).expect("a frame");
-    // The view of one host, which the earlier build does not append, takes two bytes.
-    let (frame, _) = datagram::decode(&bytes[..bytes.len() - 2]).expect("a frame");
+    // The view and the age of one heartbeat, which the earlier build does not append, take two bytes
+    // each.
+    let (frame, _) = datagram::decode(&bytes[..bytes.len() - 4]).expect("a frame");
     let Frame::Heartbeats(heartbeats, _) = frame else { panic!("not heartbeats") };
     let (is_new, responses) = members(1).exchange(address(0), &heartbeats, now);
     assert!(is_new);
