Don't direct callers to hosts that have been silent for 3.5 s

The directory of each host now leaves out hosts that it has not heard of for 3.5 s. Who counts as live, and the shares of budgets, stay as they are.

--- a/crates/basilhaven/src/gateway/cluster.rs
+++ b/crates/basilhaven/src/gateway/cluster.rs
@@ -39,6 +39,11 @@
 const DEAD_AFTER: Duration = Duration::from_millis(1800);
 const DEAD_AFTER_IN_LARGE_CLUSTER: Duration = Duration::from_millis(4500);
 
+/// How long a host may have been silent to be named to callers. In a large cluster its last heartbeat
+/// is forwarded for up to two seconds, and callers must not be directed to it 6 s after its end. That
+/// a live host is left out of one response in some thousands does no harm.
+const MAX_ADVERTISED_SILENCE: Duration = Duration::from_millis(3500);
+
 /// Maximum number of hosts of a small cluster.
 const MAX_SMALL_CLUSTER: usize = 24;
 
@@ -542,7 +547,17 @@
         if self.live_count(now) == 1 && self.uptime(now) < DISCOVERY_TIME {
             return None;
         }
-        Some(self.advertised_hosts(now).for_data_centre(name_hash(data_centre)))
+        let silent = self.silent_hosts(now);
+        Some(self.advertised_hosts(now).for_data_centre(name_hash(data_centre), &silent))
+    }
+
+    /// Returns the callers' addresses of the hosts that have been silent for so long that callers
+    /// are not directed to them, although they still count as live.
+    fn silent_hosts(&self, now: Instant) -> IndexSet<SocketAddr> {
+        let peers = self.peers.borrow();
+        let is_silent =
+            |peer: &&Peer| now.saturating_duration_since(peer.received_at) > MAX_ADVERTISED_SILENCE;
+        peers.values().filter(is_silent).map(|peer| peer.heartbeat.caller_addr()).collect()
     }
 
     /// Sets the total slots of all upstreams, which determine the number of advertised hosts.
--- a/crates/basilhaven/src/gateway/cluster/advertised.rs
+++ b/crates/basilhaven/src/gateway/cluster/advertised.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::gateway::cluster;
 
@@ -136,10 +136,16 @@
     }
 
     /// Returns the hosts to advertise to callers of a data centre: the hosts of that data centre
-    /// first, and no others if these are at least `ENOUGH_LOCAL`.
-    pub(super) fn for_data_centre(&self, data_centre: u16) -> Vec<SocketAddr> {
+    /// first, and no others if these are at least `ENOUGH_LOCAL`. Hosts that are `silent` are left
+    /// out.
+    pub(super) fn for_data_centre(
+        &self,
+        data_centre: u16,
+        silent: &IndexSet<SocketAddr>,
+    ) -> Vec<SocketAddr> {
+        let named = self.current.iter().filter(|host| !silent.contains(&host.caller_addr()));
         let (local, remote): (Vec<&cluster::Heartbeat>, Vec<&cluster::Heartbeat>) =
-            self.current.iter().partition(|heartbeat| heartbeat.data_centre == data_centre);
+            named.partition(|heartbeat| heartbeat.data_centre == data_centre);
         let remote = if local.len() < ENOUGH_LOCAL { remote } else { Vec::new() };
         let named = by_capacity(local.into_iter().chain(remote).collect());
         named.into_iter().map(cluster::Heartbeat::caller_addr).collect()
