Direct callers by the time since hosts have sent their last heartbeats

Heartbeats now carry the time since the host itself sent them, added up over the hosts that forward them, and the directory leaves out hosts whose last heartbeat was sent more than 5 s ago.

--- a/crates/basilhaven/src/gateway/cluster.rs
+++ b/crates/basilhaven/src/gateway/cluster.rs
@@ -39,10 +39,10 @@
 const DEAD_AFTER: Duration = Duration::from_millis(1800);
 const DEAD_AFTER_IN_LARGE_CLUSTER: Duration = Duration::from_millis(4500);
 
-/// How long a host may have been silent to be named to callers. In a large cluster its last heartbeat
-/// is forwarded for up to two seconds, and callers must not be directed to it 6 s after its end. That
-/// a live host is left out of one response in some thousands does no harm.
-const MAX_ADVERTISED_SILENCE: Duration = Duration::from_millis(3500);
+/// How long ago a host may have sent its last known heartbeat to be named to callers, who must not be
+/// directed to it 6 s after its end. In a large cluster a heartbeat is forwarded for more than two
+/// seconds until the last host has received it, so that the time since it was received tells less.
+const MAX_ADVERTISED_SILENCE: Duration = Duration::from_secs(5);
 
 /// Maximum number of hosts of a small cluster.
 const MAX_SMALL_CLUSTER: usize = 24;
@@ -136,9 +136,10 @@
     /// What the host says of the hosts that it knows; sent after the frame.
     #[serde(skip)]
     view: View,
-    /// The time since the sender received this heartbeat, in milliseconds; sent after the frame. A
-    /// host that has just started would otherwise take a host for live that has been dead for
-    /// seconds, until it has been silent for as long again.
+    /// The time since the host itself sent this heartbeat, in milliseconds, as far as the hosts that
+    /// have forwarded it know; sent after the frame. A host that has just started would otherwise
+    /// take a host for live that has been dead for seconds, until it has been silent for as long
+    /// again.
     #[serde(skip)]
     age_ms: u32,
 }
@@ -210,6 +211,8 @@
 struct Peer {
     heartbeat: Heartbeat,
     received_at: Instant,
+    /// When the host itself sent the heartbeat, by its age.
+    sent_at: Instant,
 }
 
 /// The hosts known to this host, and its own state.
@@ -395,16 +398,16 @@
             };
             if is_newer {
                 let mut heartbeat = heartbeat;
+                let age = Duration::from_millis(heartbeat.age_ms.into());
+                let sent_at = now.checked_sub(age).unwrap_or(now);
                 let mut received_at = now;
                 match peers.get(&heartbeat.peer_addr()) {
                     Some(known) => heartbeat.keep_known(&known.heartbeat),
                     // A known host has been heard of with its earlier heartbeats.
-                    None => {
-                        let age = Duration::from_millis(heartbeat.age_ms.into());
-                        received_at = now.checked_sub(age).unwrap_or(now);
-                    }
+                    None => received_at = sent_at,
                 }
-                let known = peers.insert(heartbeat.peer_addr(), Peer { heartbeat, received_at });
+                let peer = Peer { heartbeat, received_at, sent_at };
+                let known = peers.insert(heartbeat.peer_addr(), peer);
                 let is_known =
                     known.is_some_and(|known| known.heartbeat.incarnation == heartbeat.incarnation);
                 let has_same_state = known.is_some_and(|known| {
@@ -508,7 +511,7 @@
         let mut others: Vec<&Peer> = self.live_among(&peers, now).collect();
         others.sort_by_key(|peer| std::cmp::Reverse(peer.received_at));
         let with_age = |peer: &&Peer| {
-            let age = now.saturating_duration_since(peer.received_at).as_millis();
+            let age = now.saturating_duration_since(peer.sent_at).as_millis();
             Heartbeat { age_ms: u32::try_from(age).unwrap_or(u32::MAX), ..peer.heartbeat }
         };
         std::iter::once(self.own.get()).chain(others.iter().map(with_age)).collect()
@@ -556,7 +559,7 @@
     fn silent_hosts(&self, now: Instant) -> IndexSet<SocketAddr> {
         let peers = self.peers.borrow();
         let is_silent =
-            |peer: &&Peer| now.saturating_duration_since(peer.received_at) > MAX_ADVERTISED_SILENCE;
+            |peer: &&Peer| now.saturating_duration_since(peer.sent_at) > MAX_ADVERTISED_SILENCE;
         peers.values().filter(is_silent).map(|peer| peer.heartbeat.caller_addr()).collect()
     }
 
@@ -734,7 +737,10 @@
     /// Otherwise all other hosts would count as dead when the process resumes, and this host would
     /// claim the common budgets for itself.
     pub fn record_pause(&self, length: Duration) {
-        self.peers.borrow_mut().values_mut().for_each(|peer| peer.received_at += length);
+        for peer in self.peers.borrow_mut().values_mut() {
+            peer.received_at += length;
+            peer.sent_at += length;
+        }
         self.advertised.borrow_mut().record_pause(length);
     }
 
