Probe now and then an upstream that has not been heard of

One search in ten now opens a connection to the upstream that has not responded for the longest time, or never.

--- a/crates/basilhaven/src/gateway/balancer.rs
+++ b/crates/basilhaven/src/gateway/balancer.rs
@@ -25,6 +25,10 @@
 /// upstreams of their subset full.
 const SUBSET_SIZE: usize = 32;
 
+/// Share of the searches in which one probe opens a connection to an upstream that this host has not
+/// heard of for long.
+const EXPLORED_SHARE: f64 = 0.1;
+
 /// Recent failures from which an upstream gives up its place in the subset to another one. While
 /// upstreams fail or shed, a fixed subset would consist of those that have failed, whose cost is too
 /// high for any call.
@@ -393,6 +397,13 @@
         let mut probed = selection::sample(&limited, limited_count, effort, now);
         let unlimited_count = PROBES_PER_SEARCH.saturating_sub(probed.len());
         probed.extend(selection::sample(&unlimited, unlimited_count, effort, now));
+        if fastrand::f64() < EXPLORED_SHARE {
+            let unheard = selection::least_heard(&unlimited, effort);
+            if let Some(upstream) = unheard.filter(|u| !probed.iter().any(|p| Rc::ptr_eq(p, u))) {
+                probed.truncate(PROBES_PER_SEARCH - 1);
+                probed.push(upstream);
+            }
+        }
         self.refresh_reports(&probed, service).await;
         let now = Instant::now();
         let available: Vec<_> = probed
--- a/crates/basilhaven/src/gateway/selection.rs
+++ b/crates/basilhaven/src/gateway/selection.rs
@@ -140,6 +140,22 @@
     local.into_iter().chain(remote).chain(rest.into_iter().take(missing)).chain(cold).collect()
 }
 
+/// Returns the candidate that has not responded for the longest time, or never, among those that a
+/// probe needs a new connection to.
+///
+/// Samples prefer open connections, so that an upstream that has joined would get no call while the
+/// others have room.
+pub fn least_heard<'a, F>(
+    candidates: &[&'a Rc<upstream::Upstream>],
+    effort: F,
+) -> Option<&'a Rc<upstream::Upstream>>
+where
+    F: Fn(&upstream::Upstream) -> Effort,
+{
+    let unconnected = candidates.iter().copied().filter(|u| effort(u) == Effort::Connect);
+    unconnected.min_by_key(|u| u.contact.responded_at())
+}
+
 /// What it takes to learn the load of an upstream before a call; less is better.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Effort {
--- a/crates/basilhaven/tests/gateway/selection.rs
+++ b/crates/basilhaven/tests/gateway/selection.rs
@@ -341,3 +341,17 @@
     let probed = selection::sample(&all, 2, connected, now);
     assert!(probed.iter().all(|u| &*u.id != "i-3"), "fewer calls go first");
 }
+
+// Guards against upstreams that have joined and get no call, as samples prefer open connections.
+#[test]
+fn an_upstream_that_was_never_heard_of_is_probed_before_others_without_a_connection() {
+    let now = Instant::now();
+    let upstreams: Vec<_> =
+        ["connected", "heard", "joined"].map(|id| upstream(id, "v1", "a", now)).into();
+    upstreams[1].contact.record_response(now);
+    let candidates: Vec<_> = upstreams.iter().collect();
+    let effort =
+        |u: &Upstream| selection::Effort::of(true, &*u.id == "connected", &*u.id == "connected");
+    let least = selection::least_heard(&candidates, effort).expect("one is not connected");
+    assert_eq!(&*least.id, "joined");
+}
