Rank a retry by the priority of its call

An organisation's priority goes before its route's when calls wait, but the rank of a retry was computed from the route's priority alone. With the organisation's priority lower than the route's, its retries could take the part of the retry limit that is kept for higher ones; the other way round it was denied retries that it should have had.

The rank now comes from the call's priority, which already contains the organisation's. A new test with a route and two organisations failed before (both denials at rank 0) and passes now (one denial at rank 0, one at rank 1).

--- a/crates/basilhaven-bench/tests/gateway/access.rs
+++ b/crates/basilhaven-bench/tests/gateway/access.rs
@@ -23,7 +23,9 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
-use crate::fixture::{config, receive, wait_until, Fixture, Host, Network, PROMPT, SERVICE};
+use crate::fixture::{
+    config, receive, wait_until, Fixture, Host, Network, NO_RETRIES, PROMPT, SERVICE,
+};
 
 /// The time within which a version must be in force on all hosts.
 const IN_FORCE_WITHIN: Duration = Duration::from_millis(2500);
@@ -331,6 +333,31 @@
     });
 }
 
+// Guards against retries whose rank follows the priority of the route, although the organisation has
+// one of its own.
+#[test]
+fn the_rank_of_a_retry_follows_the_priority_of_the_organisation() {
+    block_on(async {
+        let store = Store::start();
+        let organisations = json!([
+            {"Name": "higher", "ApiKeys": ["secret-1"], "Priority": 2},
+            {"Name": "lower", "ApiKeys": ["secret-2"], "Priority": 3},
+        ]);
+        store.put("op", "config", &config_with(2, organisations));
+        let upstream = Upstream::start("i-0", Behaviour::Sheds);
+        store.put("servers", &upstream.id, &upstream.entry(SERVICE, "v1", "ready"));
+        let network = Network::new(176, 1);
+        let hosts = network.start_all(&store, &NO_RETRIES).await;
+        let denied = |rank: usize| {
+            hosts[0].metric(&format!("basilhaven_retries_denied_total{{rank=\"{rank}\"}}"))
+        };
+        assert_eq!(call(&hosts[0], "/safe/1", "id-1", &key("secret-1")).status, 503);
+        assert_eq!((denied(0), denied(1)), (Some(1.0), None));
+        assert_eq!(call(&hosts[0], "/safe/1", "id-2", &key("secret-2")).status, 503);
+        assert_eq!((denied(0), denied(1)), (Some(1.0), Some(1.0)));
+    });
+}
+
 // Guards against an order by the routes' priority alone, by which the calls that arrive first would
 // be served first.
 #[test]
--- a/crates/basilhaven-bench/tests/gateway/fixture.rs
+++ b/crates/basilhaven-bench/tests/gateway/fixture.rs
@@ -13,6 +13,10 @@
 /// An upstream that responds at once.
 pub const PROMPT: Behaviour = Behaviour::Serves(Duration::ZERO);
 
+/// Settings by which a host makes no second attempt of its own.
+pub const NO_RETRIES: [(&str, &str); 2] =
+    [("BASILHAVEN_RETRY_RATIO", "0"), ("BASILHAVEN_RETRY_SLACK", "0")];
+
 /// A store with a configuration, upstreams that are listed in it, and one host that is ready.
 pub struct Fixture {
     pub store: Store,
--- a/crates/basilhaven-bench/tests/gateway/passed_on.rs
+++ b/crates/basilhaven-bench/tests/gateway/passed_on.rs
@@ -10,11 +10,7 @@
 use basilhaven_bench::standin::users::store::Store;
 use basilhaven_bench::standin::users::upstream::{Behaviour, Echo, Upstream};
 
-use crate::fixture::{config, receive, Network, SERVICE};
-
-/// Settings by which a host makes no second attempt of its own.
-const NO_RETRIES: [(&str, &str); 2] =
-    [("BASILHAVEN_RETRY_RATIO", "0"), ("BASILHAVEN_RETRY_SLACK", "0")];
+use crate::fixture::{config, receive, Network, NO_RETRIES, SERVICE};
 
 /// Passes a call that has so many attempts left to a host, with these additional header fields.
 fn pass_on(stream: &mut TcpStream, id: &str, attempts: u32, extra_fields: &str) -> Response {
--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -228,7 +228,7 @@
     fn try_spend_retry(&self) -> bool {
         let now = Instant::now();
         let rank = match self.started.elapsed() < self.task.route.latency_target {
-            true => self.queue.room.rank(self.task.route.priority, now),
+            true => self.queue.room.rank(self.task.call.priority, now),
             false => retries::LOWEST_RANK,
         };
         let is_allowed = self.queue.retries.try_spend(now, self.frontend.retry_allowance(), rank);
