Say that a call has ended when its body is too long

A body over the limit was refused by a path of its own, beside the one of all other refusals, and without the header field by which a host tells another how a call has ended. If the two hosts had different versions of the configuration, the host that had passed the call on took the 413 for an unknown end, and its caller got a 502.

The 413 now takes the path of the other refusals. A new test failed before (no basilhaven-result) and passes now.

--- a/crates/basilhaven-bench/tests/gateway/passed_on.rs
+++ b/crates/basilhaven-bench/tests/gateway/passed_on.rs
@@ -12,6 +12,14 @@
 
 use crate::fixture::{config, receive, Network, NO_RETRIES, SERVICE};
 
+/// Connects to a host as another host does that passes calls on.
+fn connect(network: &Network) -> TcpStream {
+    let mut stream = TcpStream::connect((network.ips[0], network.port)).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    stream.write_all(&relay::encode_calls().unwrap()).unwrap();
+    stream
+}
+
 /// Passes a call that has so many attempts left to a host, with these additional header fields.
 fn pass_on(stream: &mut TcpStream, id: &str, attempts: u32, extra_fields: &str) -> Response {
     let request = format!(
@@ -34,9 +42,7 @@
         store.put("servers", &upstream.id, &upstream.entry(SERVICE, "v1", "ready"));
         let network = Network::new(number, 1);
         let _hosts = network.start_all(&store, &NO_RETRIES).await;
-        let mut stream = TcpStream::connect((network.ips[0], network.port)).unwrap();
-        stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
-        stream.write_all(&relay::encode_calls().unwrap()).unwrap();
+        let mut stream = connect(&network);
         let first = pass_on(&mut stream, "id-1", 2, "basilhaven-tried: \r\n");
         assert!(first.head.contains("basilhaven-sends: 1"), "{}", first.head);
         let second = pass_on(&mut stream, "id-1", 1, &second_fields(&first));
@@ -59,3 +65,25 @@
 fn a_call_that_an_earlier_build_passes_on_twice_is_not_refused_and_run() {
     check_second_time(62, |_| String::new());
 }
+
+// Guards against a 413 that does not say that the call has ended: the host that passed the call on
+// took it for an unknown end, and its caller got a 502.
+#[test]
+fn a_body_that_is_too_long_ends_a_call_that_is_passed_on() {
+    block_on(async {
+        let store = Store::start();
+        let mut config: serde_json::Value = serde_json::from_str(&config(1, SERVICE)).unwrap();
+        config["Limits"]["MaxBodyBytes"] = 1000.into();
+        store.put("op", "config", &config.to_string());
+        let network = Network::new(177, 1);
+        let _hosts = network.start_all(&store, &NO_RETRIES).await;
+        let announced = pass_on(&mut connect(&network), "id-1", 1, "Content-Length: 1001\r\n");
+        // One chunk of 0x3e9 = 1001 bytes.
+        let body = format!("Transfer-Encoding: chunked\r\n\r\n3e9\r\n{}", "x".repeat(1001));
+        let sent = pass_on(&mut connect(&network), "id-2", 1, &body);
+        for response in [announced, sent] {
+            assert_eq!(response.status, 413);
+            assert!(response.head.contains("basilhaven-result: answered"), "{}", response.head);
+        }
+    });
+}
--- a/crates/basilhaven/src/gateway/frontend.rs
+++ b/crates/basilhaven/src/gateway/frontend.rs
@@ -331,8 +331,8 @@
     };
     if unread.exceeds(limits.max_body_len) {
         log_too_long(frontend, &request, &admission.route, limits);
-        let status = http::StatusCode::PAYLOAD_TOO_LARGE;
-        return unread.respond(conn, status, persistence()).await;
+        let reply = attempts::Reply::rejected(http::StatusCode::PAYLOAD_TOO_LARGE);
+        return unread.reply(frontend, conn, reply, persistence(), source).await;
     }
     let deadline = deadline(frontend, &request, &admission.route, started);
     if stops_before(frontend, deadline, &request, &admission.route) {
@@ -345,8 +345,8 @@
         Ok(Body::Whole(body)) => body,
         Ok(Body::TooLarge) => {
             log_too_long(frontend, &request, &admission.route, limits);
-            let status = http::StatusCode::PAYLOAD_TOO_LARGE;
-            return respond_empty(conn, status, Persistence::Close).await;
+            let reply = attempts::Reply::rejected(http::StatusCode::PAYLOAD_TOO_LARGE);
+            return deliver(frontend, conn, reply, Persistence::Close, source).await;
         }
         Ok(Body::NoMemory) => {
             drop(share);
--- a/crates/basilhaven/src/gateway/frontend/request_body.rs
+++ b/crates/basilhaven/src/gateway/frontend/request_body.rs
@@ -34,18 +34,6 @@
         matches!(self.framing, body::Framing::Length(len) if len > max_len as u64)
     }
 
-    /// Responds with an empty body.
-    pub(super) async fn respond(
-        self,
-        conn: &mut http1::Conn,
-        status: http::StatusCode,
-        persistence: Persistence,
-    ) -> Result<Persistence, http1::Error> {
-        let persistence = self.persistence(persistence);
-        response::respond_empty(conn, status, persistence).await?;
-        self.skip(conn, persistence).await
-    }
-
     /// Delivers a reply that is known without the body.
     pub(super) async fn reply(
         self,
