Decide in one place whether a request is served

serve_request took each check by itself, each with the same branch that answers and returns, and repeated two of them after the body.

admission::check_head now makes all decisions that the head allows, and check_again those that may change while the body arrives; both return one Rejection, which also says whether the host is about to exit. The run of a call beside the wait for its caller's end is a function of its own.

--- a/crates/basilhaven/src/gateway/frontend.rs
+++ b/crates/basilhaven/src/gateway/frontend.rs
@@ -19,7 +19,7 @@
 mod request_body;
 mod response;
 
-use admission::{admit, build_call, deadline, stops_before, take_terms, Admission};
+use admission::{Admission, Rejection};
 use request_body::{log_too_long, read_body, Body, Unread};
 use response::{deliver, respond_empty};
 
@@ -309,36 +309,19 @@
             Persistence::Close
         }
     };
+    let after = |rejection| match rejection {
+        Rejection::Exiting => Persistence::Close,
+        Rejection::NotRun | Rejection::Status(_) => persistence(),
+    };
     // Whatever is known without the body is answered before it is read.
     let unread = Unread::new(&request);
-    let Some(table) = frontend.config.table() else {
-        tracing::info!(event = "not_configured");
-        return unread
-            .reply(frontend, conn, attempts::Reply::refused(), persistence(), source)
-            .await;
-    };
-    let terms = match take_terms(&mut request.parts.headers, &table, source) {
-        Ok(terms) => terms,
-        Err(rejection) => {
-            return unread.reply(frontend, conn, rejection.reply(), persistence(), source).await
-        }
-    };
-    let admission = match admit(frontend, &request, table, terms.as_ref()) {
+    let admission = match admission::check_head(frontend, &mut request, limits, source, started) {
         Ok(admission) => admission,
         Err(rejection) => {
-            return unread.reply(frontend, conn, rejection.reply(), persistence(), source).await
+            let (reply, persistence) = (rejection.reply(), after(rejection));
+            return unread.reply(frontend, conn, reply, persistence, source).await;
         }
     };
-    if unread.exceeds(limits.max_body_len) {
-        log_too_long(frontend, &request, &admission.route, limits);
-        let reply = attempts::Reply::rejected(http::StatusCode::PAYLOAD_TOO_LARGE);
-        return unread.reply(frontend, conn, reply, persistence(), source).await;
-    }
-    let deadline = deadline(frontend, &request, &admission.route, started);
-    if stops_before(frontend, deadline, &request, &admission.route) {
-        let reply = attempts::Reply::refused();
-        return unread.reply(frontend, conn, reply, Persistence::Close, source).await;
-    }
     let (purpose, phase) = (memory::Purpose::Body, memory::Phase::Receiving);
     let share = frontend.memory.share(purpose, phase, started);
     let body = match read_body(frontend, conn, &request, limits, &share).await {
@@ -365,48 +348,17 @@
     };
     share.set_phase(memory::Phase::Serving);
     release_buffer(conn, conn_share);
-    // The host may have begun to stop while the body arrived.
-    if stops_before(frontend, deadline, &request, &admission.route) {
-        let reply = attempts::Reply::refused();
-        return deliver(frontend, conn, reply, Persistence::Close, source).await;
-    }
-    // The route or the key may have been removed while the body arrived.
-    let admission = match frontend.config.table() {
-        Some(newer) if !Rc::ptr_eq(&newer, &admission.table) => {
-            match admit(frontend, &request, newer, terms.as_ref()) {
-                Ok(admission) => admission,
-                Err(rejection) => {
-                    return deliver(frontend, conn, rejection.reply(), persistence(), source).await
-                }
-            }
+    let admission = match admission::check_again(frontend, &request, admission, started) {
+        Ok(admission) => admission,
+        Err(rejection) => {
+            return deliver(frontend, conn, rejection.reply(), after(rejection), source).await
         }
-        _ => admission,
     };
-    let call = build_call(frontend, request, body, &admission, deadline);
-    let Admission { table, route, .. } = admission;
+    let call = admission::build_call(frontend, request, body, &admission);
+    let Admission { table, route, terms, .. } = admission;
     let task = attempts::Task { route: &route, call: &call, terms };
-    let caller_left = notify::Notifier::default();
-    let reply = {
-        let run = std::pin::pin!(attempts::run(frontend, &table, task, &caller_left));
-        let closed = std::pin::pin!(conn.closed());
-        match future::select(run, closed).await {
-            Either::Left((reply, _)) => reply,
-            Either::Right(((), run)) => {
-                caller_left.notify();
-                // An at-most-once call is not cancelled part-way: it runs to its end without a
-                // caller.
-                if call.idempotency == profile::Idempotency::AtMostOnce {
-                    run.await;
-                }
-                tracing::info!(
-                    event = "caller_left",
-                    id = call.id_text(),
-                    organisation = call.organisation.as_deref(),
-                    route = &*route.name
-                );
-                return Ok(Persistence::Abort);
-            }
-        }
+    let Some(reply) = run_call(frontend, conn, &table, task).await else {
+        return Ok(Persistence::Abort);
     };
     log_unanswered(&call, &route, &reply, started);
     // A caller that reads its response slowly must not keep its request in memory.
@@ -415,6 +367,36 @@
     deliver(frontend, conn, reply, persistence(), source).await
 }
 
+/// Runs a call; returns `None` if the caller leaves before there is a reply.
+async fn run_call(
+    frontend: &Frontend,
+    conn: &mut http1::Conn,
+    table: &route::Table,
+    task: attempts::Task<'_>,
+) -> Option<attempts::Reply> {
+    let (call, route) = (task.call, task.route);
+    let caller_left = notify::Notifier::default();
+    let run = std::pin::pin!(attempts::run(frontend, table, task, &caller_left));
+    let closed = std::pin::pin!(conn.closed());
+    match future::select(run, closed).await {
+        Either::Left((reply, _)) => Some(reply),
+        Either::Right(((), run)) => {
+            caller_left.notify();
+            // An at-most-once call is not cancelled part-way: it runs to its end without a caller.
+            if call.idempotency == profile::Idempotency::AtMostOnce {
+                run.await;
+            }
+            tracing::info!(
+                event = "caller_left",
+                id = call.id_text(),
+                organisation = call.organisation.as_deref(),
+                route = &*route.name
+            );
+            None
+        }
+    }
+}
+
 /// Returns the request id for log lines; empty if there is none.
 fn id_text<'a>(frontend: &Frontend, request: &'a head::Request) -> &'a str {
     let id = request.parts.headers.get(&frontend.protocol.headers.request_id);
--- a/crates/basilhaven/src/gateway/frontend/admission.rs
+++ b/crates/basilhaven/src/gateway/frontend/admission.rs
@@ -5,6 +5,7 @@
 
 use http::header::{self, HeaderMap};
 
+use super::request_body::log_too_long;
 use super::{attempts, id_text, Frontend, Source};
 use crate::gateway::{access, attempt, forward, protocol, relay, route};
 use crate::http1::{body, head};
@@ -13,10 +14,51 @@
 /// trips to a caller.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 
+/// Decides from its head whether a request is served.
+pub(super) fn check_head(
+    frontend: &Frontend,
+    request: &mut head::Request,
+    limits: &route::Limits,
+    source: Source,
+    started: Instant,
+) -> Result<Admission, Rejection> {
+    let Some(table) = frontend.config.table() else {
+        tracing::info!(event = "not_configured");
+        return Err(Rejection::NotRun);
+    };
+    let terms = take_terms(&mut request.parts.headers, &table, source)?;
+    let admission = admit(frontend, request, table, terms, started)?;
+    if matches!(request.framing, body::Framing::Length(len) if len > limits.max_body_len as u64) {
+        log_too_long(frontend, request, &admission.route, limits);
+        return Err(Rejection::Status(http::StatusCode::PAYLOAD_TOO_LARGE));
+    }
+    check_exit(frontend, request, &admission)?;
+    Ok(admission)
+}
+
+/// Decides again once the body has arrived: meanwhile the host may have begun to stop, and the route
+/// or the key may have been removed.
+pub(super) fn check_again(
+    frontend: &Frontend,
+    request: &head::Request,
+    admission: Admission,
+    started: Instant,
+) -> Result<Admission, Rejection> {
+    check_exit(frontend, request, &admission)?;
+    match frontend.config.table() {
+        Some(newer) if !Rc::ptr_eq(&newer, &admission.table) => {
+            let deadline = admission.deadline;
+            let newer = admit(frontend, request, newer, admission.terms, started)?;
+            Ok(Admission { deadline, ..newer })
+        }
+        _ => Ok(admission),
+    }
+}
+
 /// Takes the terms of a call that another host passes on from its request; a caller's request has
 /// none. Returns an error if this host must not place the call, because it has an older
 /// configuration.
-pub(super) fn take_terms(
+fn take_terms(
     headers: &mut HeaderMap,
     table: &route::Table,
     source: Source,
@@ -45,6 +87,8 @@
 pub(super) enum Rejection {
     /// Another host may serve it.
     NotRun,
+    /// Another host may serve it; this one is about to exit.
+    Exiting,
     /// No host with this configuration serves it.
     Status(http::StatusCode),
 }
@@ -53,7 +97,7 @@
     /// Returns the reply to the caller.
     pub(super) fn reply(self) -> attempts::Reply {
         match self {
-            Rejection::NotRun => attempts::Reply::refused(),
+            Rejection::NotRun | Rejection::Exiting => attempts::Reply::refused(),
             Rejection::Status(status) => attempts::Reply::rejected(status),
         }
     }
@@ -63,70 +107,90 @@
 pub(super) struct Admission {
     /// The configuration by which it was decided.
     pub table: Rc<route::Table>,
+    /// The route.
     pub route: Rc<route::Route>,
     organisation: Option<access::Organisation>,
     /// Whether the header fields of keys and organisations have a meaning, and are removed.
     is_key_checked: bool,
+    /// The terms of a call that another host passes on.
+    pub terms: Option<forward::Terms>,
+    /// When the call ends: at the caller's deadline, or after the route's timeout.
+    deadline: Instant,
 }
 
-/// Finds the route of a request and checks its key, unless the host that passes it on has done that.
-/// Returns an error if the request is not served.
-pub(super) fn admit(
+/// Finds the route of a request and checks its key. Returns an error if the request is not served.
+fn admit(
     frontend: &Frontend,
     request: &head::Request,
     table: Rc<route::Table>,
-    terms: Option<&forward::Terms>,
+    terms: Option<forward::Terms>,
+    started: Instant,
 ) -> Result<Admission, Rejection> {
-    let (parts, names) = (&request.parts, &frontend.protocol.headers);
+    let parts = &request.parts;
     let host = head::host(parts).unwrap_or_default();
     let Some(route) = table.find(host, parts.uri.path()).cloned() else {
         tracing::info!(event = "no_route", host, version = table.version);
         return Err(Rejection::Status(http::StatusCode::NOT_FOUND));
     };
-    if terms.is_some_and(|terms| terms.is_key_checked) {
-        let name = parts.headers.get(&names.organisation);
-        let name = name.and_then(|name| std::str::from_utf8(name.as_bytes()).ok());
-        let organisation = name.map(|name| access::Organisation {
-            name: name.into(),
-            priority: table.directory.priority_of(name),
-        });
-        return Ok(Admission { table, route, organisation, is_key_checked: true });
-    }
-    let key = access::presented_key(&parts.headers, &names.key);
-    match table.directory.check(&route, key) {
-        access::Decision::Allowed(organisation) => {
-            let is_key_checked = table.directory.is_on();
-            Ok(Admission { table, route, organisation, is_key_checked })
-        }
+    let is_key_checked = terms.as_ref().is_some_and(|terms| terms.is_key_checked);
+    let organisation = match is_key_checked {
+        true => stated_organisation(frontend, request, &table),
+        false => check_key(frontend, request, &table, &route)?,
+    };
+    let timeout = parse_timeout(&parts.headers, &frontend.protocol.headers);
+    let deadline = started + timeout.unwrap_or(route.timeout).min(route.timeout);
+    let is_key_checked = is_key_checked || table.directory.is_on();
+    Ok(Admission { table, route, organisation, is_key_checked, terms, deadline })
+}
+
+/// Returns the organisation that the host names which passes a request on, and has checked its key.
+fn stated_organisation(
+    frontend: &Frontend,
+    request: &head::Request,
+    table: &route::Table,
+) -> Option<access::Organisation> {
+    let name = request.parts.headers.get(&frontend.protocol.headers.organisation)?;
+    let name = std::str::from_utf8(name.as_bytes()).ok()?;
+    Some(access::Organisation { name: name.into(), priority: table.directory.priority_of(name) })
+}
+
+/// Checks the key of a request, and returns the organisation that it belongs to.
+fn check_key(
+    frontend: &Frontend,
+    request: &head::Request,
+    table: &route::Table,
+    route: &route::Route,
+) -> Result<Option<access::Organisation>, Rejection> {
+    let (headers, name) = (&request.parts.headers, &frontend.protocol.headers.key);
+    match table.directory.check(route, access::presented_key(headers, name)) {
+        access::Decision::Allowed(organisation) => Ok(organisation),
         access::Decision::Denied => {
             metrics::counter!("basilhaven_keys_refused_total").increment(1);
-            let id = parts.headers.get(&names.request_id).and_then(|id| id.to_str().ok());
             tracing::info!(
                 event = "key_refused",
-                id,
+                id = id_text(frontend, request),
                 route = &*route.name,
                 version = table.version,
-                has_key = parts.headers.contains_key(&names.key),
+                has_key = headers.contains_key(name),
             );
             Err(Rejection::Status(http::StatusCode::UNAUTHORIZED))
         }
     }
 }
 
-/// Returns whether this host exits before a call with this deadline is sure to have ended, and logs
-/// that.
-pub(super) fn stops_before(
+/// Returns an error if this host exits before a call is sure to have ended.
+fn check_exit(
     frontend: &Frontend,
-    deadline: Instant,
     request: &head::Request,
-    route: &route::Route,
-) -> bool {
-    let is_too_late = frontend.exit_at.get().is_some_and(|end| deadline + RESPONSE_MARGIN > end);
-    if is_too_late {
-        let id = id_text(frontend, request);
-        tracing::info!(event = "stopping_too_soon", id, route = &*route.name);
+    admission: &Admission,
+) -> Result<(), Rejection> {
+    let latest = admission.deadline + RESPONSE_MARGIN;
+    if frontend.exit_at.get().is_none_or(|end| latest <= end) {
+        return Ok(());
     }
-    is_too_late
+    let id = id_text(frontend, request);
+    tracing::info!(event = "stopping_too_soon", id, route = &*admission.route.name);
+    Err(Rejection::Exiting)
 }
 
 /// Returns how long the caller of a request still waits, if the request says so.
@@ -135,23 +199,12 @@
     Some(Duration::from_millis(ms))
 }
 
-/// Returns when the call ends: at the caller's deadline, or after the route's timeout.
-pub(super) fn deadline(
-    frontend: &Frontend,
-    request: &head::Request,
-    route: &route::Route,
-    started: Instant,
-) -> Instant {
-    let timeout = parse_timeout(&request.parts.headers, &frontend.protocol.headers);
-    started + timeout.unwrap_or(route.timeout).min(route.timeout)
-}
-
+/// Builds the call of a request that is served.
 pub(super) fn build_call(
     frontend: &Frontend,
     request: head::Request,
     body: body::Held,
     admission: &Admission,
-    deadline: Instant,
 ) -> attempt::Call {
     let (route, organisation) = (&admission.route, admission.organisation.as_ref());
     let names = &frontend.protocol.headers;
@@ -168,7 +221,7 @@
         body,
         id,
         idempotency: route.idempotency,
-        deadline,
+        deadline: admission.deadline,
         organisation: organisation.map(|organisation| Rc::clone(&organisation.name)),
         priority: organisation.and_then(|known| known.priority).unwrap_or(route.priority),
     }
--- a/crates/basilhaven/src/gateway/frontend/request_body.rs
+++ b/crates/basilhaven/src/gateway/frontend/request_body.rs
@@ -29,11 +29,6 @@
         Unread { framing: request.framing, awaits_continue: awaits_continue(request) }
     }
 
-    /// Returns whether the announced body is longer than this.
-    pub(super) fn exceeds(&self, max_len: usize) -> bool {
-        matches!(self.framing, body::Framing::Length(len) if len > max_len as u64)
-    }
-
     /// Delivers a reply that is known without the body.
     pub(super) async fn reply(
         self,
