Split membership by job

Two things change on the way. remote_coordinator and remote_coordinators each had their own form of the same order, in which stranded hosts come last; both now take it from one function. The type of a process moves from usage to membership, which had to import it from there although usage depends on membership. The comment on ASSUMED_COUNT said that no deployment has more hosts, which is wrong; it now says what the number does.

--- a/crates/basilhaven/src/gateway/cluster.rs
+++ b/crates/basilhaven/src/gateway/cluster.rs
@@ -9,29 +9,24 @@
 //! in [`datagram`].
 
 use std::cell::{Cell, Ref, RefCell};
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::usage::message::Target;
-
 pub mod advertised;
 pub mod assignment;
 pub mod datagram;
+mod gossip;
+mod heartbeat;
 pub mod partition;
 pub mod reach;
+mod roles;
 
-/// Number of hosts to which a host sends each of its heartbeats, along with those that it forwards,
-/// in a small and in a large cluster.
-const FANOUT: usize = 3;
-const FANOUT_IN_LARGE_CLUSTER: usize = 2;
-
-/// Datagrams to other data centres in a large cluster, as a share of those that a uniform choice
-/// among all hosts would send there. The total number of datagrams stays the same.
-const REMOTE_SHARE: f64 = 0.5;
+pub use heartbeat::{name_hash, Heartbeat, State, View};
+pub use roles::{Process, Watchers};
 
 /// A host whose sequence number has not increased for this long counts as dead, in a small and in a
 /// large cluster. With the fanout of two in a large cluster, about one in ten thousand sequence
@@ -47,21 +42,6 @@
 /// Maximum number of hosts of a small cluster.
 const MAX_SMALL_CLUSTER: usize = 24;
 
-/// The coordinator, and the host that would replace it.
-const COORDINATOR_COUNT: usize = 2;
-
-/// Number of hosts that watch the store, in a small and in a large cluster.
-const WATCHER_COUNT: usize = 2;
-const WATCHER_COUNT_IN_LARGE_CLUSTER: usize = 3;
-
-/// Number of reserves for each watcher. Reserves watch the store when the watchers cannot reach it,
-/// until all hosts know of that and have selected other watchers. If no reserve can reach the store
-/// either, it is most likely down for every host.
-const RESERVES_PER_WATCHER: usize = 3;
-
-/// How long a host that failed to read the store is passed over as a watcher.
-const STORE_FAILURE_TIME: Duration = Duration::from_secs(5);
-
 /// How long after its last heartbeat a host counts among those that may be sending calls.
 const MEMBER_RETENTION: Duration = Duration::from_secs(8);
 
@@ -73,9 +53,6 @@
 /// others yet.
 const DISCOVERY_TIME: Duration = Duration::from_millis(1500);
 
-/// The most heartbeats in one datagram, which take 1,700 bytes at most.
-const MAX_HEARTBEATS: usize = 48;
-
 /// Uptime up to which a host is young: it says how many hosts it knows, and is sent the heartbeats
 /// of all hosts by those that know more. All hosts may have been restarted at once, and one datagram
 /// has only half of the heartbeats of a large cluster.
@@ -85,9 +62,9 @@
 /// sent at least two heartbeats in that time.
 const SETTLING_TIME: Duration = Duration::from_millis(150);
 
-/// Number of hosts that a young host assumes until then, to determine its share of the common
-/// budgets: more than any deployment has. With the number that it knows, the shares of hosts that
-/// are restarted at once would add up to several times the whole.
+/// Number of hosts that a young host assumes until then if it knows of fewer, to determine its share
+/// of the common budgets. With the number that it knows, the shares of hosts that are restarted at
+/// once would add up to several times the whole.
 const ASSUMED_COUNT: usize = 160;
 
 /// The record by which a host registers in the store.
@@ -101,100 +78,6 @@
     pub data_centre: Rc<str>,
 }
 
-/// State of a host; only ready hosts are advertised to callers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum State {
-    /// The host has started and cannot serve yet.
-    Starting,
-    /// The host serves calls.
-    Ready,
-    /// The host is shutting down.
-    Leaving,
-}
-
-/// Heartbeat of one host, as hosts send and forward it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    /// IPv4 address of the host.
-    address: [u8; 4],
-    peer_port: u16,
-    caller_port: u16,
-    /// Hash of the data centre's name.
-    data_centre: u16,
-    /// Distinguishes incarnations of the host's process.
-    incarnation: u16,
-    sequence: u32,
-    state: State,
-    /// Whether the host can read the store.
-    can_read_store: bool,
-    /// Capacity of the host, in twentieths of a core.
-    capacity: u8,
-    /// The services that the host reaches; sent after the [frame](datagram::encode), which earlier
-    /// builds ignore.
-    #[serde(skip)]
-    reach: reach::Reach,
-    /// What the host says of the hosts that it knows; sent after the frame.
-    #[serde(skip)]
-    view: View,
-    /// The time since the host itself sent this heartbeat, in milliseconds, as far as the hosts that
-    /// have forwarded it know; sent after the frame. A host that has just started would otherwise
-    /// take a host for live that has been dead for seconds, until it has been silent for as long
-    /// again.
-    #[serde(skip)]
-    age_ms: u32,
-}
-
-/// What the sender of a datagram says of the hosts that it knows.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct View {
-    /// Number of live hosts that the sender knows, including itself; 0 if it has not said so, as
-    /// hosts of earlier builds.
-    hosts: u16,
-    /// Whether the sender has just started, and wants to be sent the heartbeats of more hosts.
-    is_young: bool,
-}
-
-impl Heartbeat {
-    /// Returns a rank that is the same on all hosts and does not follow the order of addresses.
-    fn rank(&self) -> u64 {
-        rapidhash::v3::rapidhash_v3(&self.address)
-    }
-
-    /// Returns a hash that distinguishes hosts, also those that share an address.
-    fn key(&self) -> u64 {
-        self.rank() ^ u64::from(self.peer_port)
-    }
-
-    /// Returns whether the host reaches no service.
-    fn is_stranded(&self) -> bool {
-        self.reach == reach::Reach::Nothing
-    }
-
-    /// Keeps what is known of the same process besides if this heartbeat was forwarded: hosts of an
-    /// earlier build drop the reach, and the view is sent only by the host itself.
-    fn keep_known(&mut self, known: &Heartbeat) {
-        if self.incarnation != known.incarnation {
-            return;
-        }
-        if self.reach == reach::Reach::Unknown {
-            self.reach = known.reach;
-        }
-        if self.view == View::default() {
-            self.view = known.view;
-        }
-    }
-
-    /// Returns the address for other hosts.
-    pub fn peer_addr(&self) -> SocketAddr {
-        SocketAddrV4::new(Ipv4Addr::from(self.address), self.peer_port).into()
-    }
-
-    /// Returns the address for callers.
-    pub fn caller_addr(&self) -> SocketAddr {
-        SocketAddrV4::new(Ipv4Addr::from(self.address), self.caller_port).into()
-    }
-}
-
 /// Another host that may take calls of this one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Candidate {
@@ -232,24 +115,6 @@
     advertised: RefCell<advertised::Hosts>,
 }
 
-/// The hosts that watch the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Watchers {
-    /// Whether this host is a watcher.
-    pub is_watcher: bool,
-    /// The other watchers.
-    pub others: Vec<SocketAddr>,
-    /// Whether this host is a reserve, which watches the store when no watcher can reach it.
-    pub is_reserve: bool,
-    /// The other reserves.
-    pub reserves: Vec<SocketAddr>,
-}
-
-/// Returns a short hash of a name, which is the same on all hosts.
-pub fn name_hash(name: &str) -> u16 {
-    rapidhash::v3::rapidhash_v3(name.as_bytes()) as u16
-}
-
 impl Members {
     /// Creates the membership of a host that knows no other host yet. The host must have an IPv4
     /// address, since heartbeats carry no others.
@@ -347,141 +212,6 @@
         }
     }
 
-    /// Sets whether this host can read the store.
-    pub fn set_store_reachable(&self, can_read_store: bool, now: Instant) {
-        self.store_failed_at.set((!can_read_store).then_some(now));
-        self.own.set(Heartbeat { can_read_store, ..self.own.get() });
-    }
-
-    /// Returns the hosts that watch the store: the first by rank, so hosts that can read the store
-    /// come first, then those of higher capacity.
-    pub fn watchers(&self, now: Instant) -> Watchers {
-        let own = self.own.get().peer_addr();
-        let ranked: Vec<SocketAddr> = self.ranked(now).iter().map(Heartbeat::peer_addr).collect();
-        let count = if ranked.len() > MAX_SMALL_CLUSTER {
-            WATCHER_COUNT_IN_LARGE_CLUSTER
-        } else {
-            WATCHER_COUNT
-        };
-        let (first, rest) = ranked.split_at(count.min(ranked.len()));
-        let second = &rest[..rest.len().min(count * RESERVES_PER_WATCHER)];
-        let without_own = |hosts: &[SocketAddr]| {
-            hosts.iter().copied().filter(|host| *host != own).collect::<Vec<SocketAddr>>()
-        };
-        Watchers {
-            is_watcher: first.contains(&own),
-            others: without_own(first),
-            is_reserve: second.contains(&own),
-            reserves: without_own(second),
-        }
-    }
-
-    /// Merges heartbeats received from a host; returns whether they include a host or an
-    /// incarnation that was not known.
-    pub fn merge(&self, from: SocketAddr, heartbeats: &[Heartbeat], now: Instant) -> bool {
-        let own = self.own.get().peer_addr();
-        let dead_after = self.dead_after();
-        let mut peers = self.peers.borrow_mut();
-        let mut has_new = false;
-        for &heartbeat in heartbeats.iter().filter(|heartbeat| heartbeat.peer_addr() != own) {
-            let is_direct = heartbeat.peer_addr() == from;
-            let is_newer = match peers.get(&heartbeat.peer_addr()) {
-                None => true,
-                Some(known) if known.heartbeat.incarnation == heartbeat.incarnation => {
-                    heartbeat.sequence > known.heartbeat.sequence
-                }
-                // A new incarnation counts only if the host itself sent it, or the known one is
-                // dead.
-                Some(known) => {
-                    is_direct || now.saturating_duration_since(known.received_at) > dead_after
-                }
-            };
-            if is_newer {
-                let mut heartbeat = heartbeat;
-                let age = Duration::from_millis(heartbeat.age_ms.into());
-                let sent_at = now.checked_sub(age).unwrap_or(now);
-                let mut received_at = now;
-                match peers.get(&heartbeat.peer_addr()) {
-                    Some(known) => heartbeat.keep_known(&known.heartbeat),
-                    // A known host has been heard of with its earlier heartbeats.
-                    None => received_at = sent_at,
-                }
-                let peer = Peer { heartbeat, received_at, sent_at };
-                let known = peers.insert(heartbeat.peer_addr(), peer);
-                let is_known =
-                    known.is_some_and(|known| known.heartbeat.incarnation == heartbeat.incarnation);
-                let has_same_state = known.is_some_and(|known| {
-                    known.heartbeat.state == heartbeat.state
-                        && known.heartbeat.reach == heartbeat.reach
-                });
-                if !is_known {
-                    has_new = true;
-                    self.last_met.set(now);
-                }
-                if !is_known || !has_same_state {
-                    self.advertised.borrow_mut().invalidate();
-                }
-            }
-        }
-        has_new
-    }
-
-    /// Merges the heartbeats of a datagram as [`merge`](Members::merge) does, and returns whether
-    /// they include a new host, and the heartbeats to respond with, one item a datagram.
-    ///
-    /// A young host that knows fewer hosts than this one gets the heartbeats of all. So hosts that
-    /// were all restarted at once know each other within a few heartbeats, and the responses end
-    /// once they do. A host that is new, or starting and looking for a host that is ready, gets one
-    /// datagram.
-    pub fn exchange(
-        &self,
-        from: SocketAddr,
-        heartbeats: &[Heartbeat],
-        now: Instant,
-    ) -> (bool, Vec<Vec<Heartbeat>>) {
-        let Some(sender) = heartbeats.first() else { return (false, Vec::new()) };
-        let is_new_sender = {
-            let peers = self.peers.borrow();
-            let known = peers.get(&sender.peer_addr()).map(|peer| peer.heartbeat.incarnation);
-            known != Some(sender.incarnation)
-        };
-        let has_new = self.merge(from, heartbeats, now);
-        let view = sender.view;
-        let is_waiting = sender.state == State::Starting && self.state() == State::Ready;
-        // Hosts of earlier builds do not say what they know.
-        let may_lack = is_new_sender || has_new && view == View::default();
-        let responses = if view.is_young && usize::from(view.hosts) < self.live_count(now) {
-            self.all_heartbeats(now)
-        } else if may_lack || is_waiting {
-            self.all_heartbeats(now).into_iter().take(1).collect()
-        } else {
-            Vec::new()
-        };
-        (has_new, responses)
-    }
-
-    /// Returns the heartbeats of all live hosts, one item a datagram. Each has this host's first,
-    /// so that it counts as received from this host.
-    fn all_heartbeats(&self, now: Instant) -> Vec<Vec<Heartbeat>> {
-        // A response to a response is not wanted.
-        let view = View { is_young: false, ..self.view(now) };
-        let own = Heartbeat { view, ..self.own.get() };
-        let others = self.live(now).split_off(1);
-        match others.is_empty() {
-            true => vec![vec![own]],
-            false => {
-                let parts = others.chunks(MAX_HEARTBEATS - 1);
-                parts.map(|part| std::iter::once(&own).chain(part).copied().collect()).collect()
-            }
-        }
-    }
-
-    /// Returns what this host says of the hosts that it knows.
-    fn view(&self, now: Instant) -> View {
-        let hosts = u16::try_from(self.live_count(now)).unwrap_or(u16::MAX);
-        View { hosts, is_young: self.is_young(now) }
-    }
-
     /// Returns whether this host has just started and may not know all others yet.
     pub fn is_young(&self, now: Instant) -> bool {
         self.uptime(now) < YOUNG_TIME
@@ -664,73 +394,11 @@
         }
     }
 
-    /// Returns the coordinator, which is the first of the hosts that watch the store unless it is
-    /// stranded, or `None` if this host is the coordinator.
-    pub fn remote_coordinator(&self, now: Instant) -> Option<SocketAddr> {
-        let own = self.own.get().peer_addr();
-        let ranked = self.ranked(now);
-        let first = ranked.iter().find(|heartbeat| !heartbeat.is_stranded()).or(ranked.first());
-        first.map(Heartbeat::peer_addr).filter(|coordinator| *coordinator != own)
-    }
-
-    /// Returns the coordinator and the host that would replace it, without this host.
-    pub fn remote_coordinators(&self, now: Instant) -> Vec<Target> {
-        let own = self.own.get().peer_addr();
-        let ranked = self.ranked(now);
-        let (stranded, others): (Vec<Heartbeat>, Vec<Heartbeat>) =
-            ranked.into_iter().partition(Heartbeat::is_stranded);
-        let first = others.iter().chain(&stranded).take(COORDINATOR_COUNT);
-        let targets =
-            first.map(|host| Target { host: host.peer_addr(), incarnation: host.incarnation });
-        targets.filter(|target| target.host != own).collect()
-    }
-
-    /// Returns the live hosts that are not shutting down: those that can read the store first, then
-    /// by descending capacity.
-    fn ranked(&self, now: Instant) -> Vec<Heartbeat> {
-        let mut live = self.live(now);
-        live.retain(|heartbeat| heartbeat.state != State::Leaving);
-        live.sort_by_key(|p| (!p.can_read_store, u8::MAX - p.capacity, p.rank(), p.peer_addr()));
-        live
-    }
-
     /// Returns the addresses of all other live hosts.
     fn live_peers(&self, now: Instant) -> Vec<SocketAddr> {
         self.live(now)[1..].iter().map(Heartbeat::peer_addr).collect()
     }
 
-    /// Increments this host's sequence number; returns the heartbeats to send, and their targets.
-    pub fn next_heartbeat(&self, now: Instant) -> (Vec<Heartbeat>, Vec<SocketAddr>) {
-        let own = self.own.get();
-        let failed_at = self.store_failed_at.get();
-        let has_failed_recently = failed_at
-            .is_some_and(|since| now.saturating_duration_since(since) < STORE_FAILURE_TIME);
-        self.own.set(Heartbeat {
-            sequence: own.sequence + 1,
-            can_read_store: !has_failed_recently,
-            view: self.view(now),
-            ..own
-        });
-        let mut heartbeats = self.live(now);
-        let mut targets = match self.is_large_cluster() {
-            true => mostly_local_targets(&own, &heartbeats[1..]),
-            false => sample(heartbeats[1..].iter().collect(), FANOUT),
-        };
-        let undiscovered: Vec<SocketAddr> = {
-            let seeds = self.seeds.borrow();
-            let is_known =
-                |address: &SocketAddr| heartbeats.iter().any(|p| p.peer_addr() == *address);
-            seeds.iter().filter(|address| !is_known(address)).copied().collect()
-        };
-        if targets.is_empty() {
-            targets = undiscovered;
-        } else if let Some(seed) = fastrand::choice(&undiscovered) {
-            targets.push(*seed);
-        }
-        heartbeats.truncate(MAX_HEARTBEATS);
-        (heartbeats, targets)
-    }
-
     /// Records that this process was paused for some time, in which it could not receive
     /// heartbeats.
     ///
@@ -769,23 +437,3 @@
     let key = |heartbeat: &Heartbeat| (heartbeat.rank(), heartbeat.peer_addr());
     hosts.iter().filter(|other| key(other) < key(own)).count()
 }
-
-/// Returns the targets of a heartbeat in a large cluster. Hosts of the same data centre are chosen
-/// more often than uniformly, because datagrams between data centres are expensive.
-fn mostly_local_targets(own: &Heartbeat, others: &[Heartbeat]) -> Vec<SocketAddr> {
-    let (local, remote): (Vec<&Heartbeat>, Vec<&Heartbeat>) =
-        others.iter().partition(|heartbeat| heartbeat.data_centre == own.data_centre);
-    let remote_share = REMOTE_SHARE * remote.len() as f64 / others.len() as f64;
-    let remote_count =
-        (0..FANOUT_IN_LARGE_CLUSTER).filter(|_| fastrand::f64() < remote_share).count();
-    let local_count = local.len().min(FANOUT_IN_LARGE_CLUSTER - remote_count);
-    let mut targets = sample(local, local_count);
-    targets.extend(sample(remote, FANOUT_IN_LARGE_CLUSTER - local_count));
-    targets
-}
-
-/// Returns `count` hosts chosen at random.
-fn sample(mut hosts: Vec<&Heartbeat>, count: usize) -> Vec<SocketAddr> {
-    fastrand::shuffle(&mut hosts);
-    hosts.into_iter().take(count).map(Heartbeat::peer_addr).collect()
-}
--- a/crates/basilhaven/src/gateway/cluster/datagram.rs
+++ b/crates/basilhaven/src/gateway/cluster/datagram.rs
@@ -55,7 +55,7 @@
         mut heartbeats: Vec<cluster::Heartbeat>,
         mut steps: Vec<moves::Step>,
     ) -> Frame {
-        heartbeats.truncate(cluster::MAX_HEARTBEATS);
+        heartbeats.truncate(cluster::gossip::MAX_HEARTBEATS);
         let mut len = 0;
         steps.retain(|step| {
             let eras = (step.order.era, step.revision.era);
--- a/crates/basilhaven/src/gateway/usage/message.rs
+++ b/crates/basilhaven/src/gateway/usage/message.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::counts::{Counts, Ledger, Origin, Window};
+use crate::gateway::cluster;
 
 /// The most bytes that a part's counts take; a frame is at most 4,096 bytes.
 const MAX_COUNTS_LEN: usize = 3500;
@@ -37,15 +38,6 @@
     pub counts: Vec<(Rc<str>, u64)>,
 }
 
-/// A process that counts are sent to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct Target {
-    /// The host's address for other hosts.
-    pub host: SocketAddr,
-    /// Distinguishes the runs of the host's process; a new one knows nothing.
-    pub incarnation: u16,
-}
-
 /// What one target is known to have.
 #[derive(Debug, Default)]
 struct Progress {
@@ -67,13 +59,13 @@
 /// The counts that other hosts do not have yet, as far as this host knows.
 #[derive(Debug, Default)]
 pub struct Outbox {
-    targets: IndexMap<Target, Progress>,
+    targets: IndexMap<cluster::Process, Progress>,
     last_number: u64,
 }
 
 impl Outbox {
     /// Sets the targets, and drops what concerns others and windows before `first`.
-    pub fn set_targets(&mut self, targets: &[Target], first: Window) {
+    pub fn set_targets(&mut self, targets: &[cluster::Process], first: Window) {
         self.targets.retain(|target, _| targets.contains(target));
         for target in targets {
             let progress = self.targets.entry(*target).or_default();
@@ -83,7 +75,7 @@
 
     /// Returns the counts that a target has not acknowledged, of the origins for which `sends`
     /// holds.
-    pub fn parts<F>(&mut self, target: Target, ledger: &Ledger, sends: F) -> Vec<Part>
+    pub fn parts<F>(&mut self, target: cluster::Process, ledger: &Ledger, sends: F) -> Vec<Part>
     where
         F: Fn(Origin) -> bool,
     {
--- a/crates/basilhaven/src/gateway/usage/task.rs
+++ b/crates/basilhaven/src/gateway/usage/task.rs
@@ -13,7 +13,7 @@
 use super::endpoint::{Answer, Endpoint, Report};
 use super::holder::{Holder, Step};
 use super::lease;
-use super::message::{Message, Outbox, Part, Target};
+use super::message::{Message, Outbox, Part};
 use super::Settings;
 use crate::gateway::cluster::{self, datagram};
 use crate::gateway::store;
@@ -111,7 +111,7 @@
     }
 
     /// Returns the counts to send now, each part with its target.
-    pub fn outgoing(&self, targets: &[Target], now: Instant) -> Vec<(SocketAddr, Part)> {
+    pub fn outgoing(&self, targets: &[cluster::Process], now: Instant) -> Vec<(SocketAddr, Part)> {
         let first = self.schedule.first_in_time(self.counter.clock.now());
         self.counter.ledger.borrow_mut().prune(first);
         let mut heard = self.heard.borrow_mut();
--- a/crates/basilhaven/tests/gateway/usage_counts.rs
+++ b/crates/basilhaven/tests/gateway/usage_counts.rs
@@ -5,12 +5,12 @@
 use std::time::{Duration, Instant};
 
 use basilhaven::gateway::cluster::datagram::{decode, encode, Frame, MAX_DATAGRAM_LEN};
-use basilhaven::gateway::cluster::{Members, Record, State};
+use basilhaven::gateway::cluster::{Members, Process, Record, State};
 use basilhaven::gateway::usage::clock::{Clock, Reading, Wall};
 use basilhaven::gateway::usage::counts::{
     Counter, Counts, Gathering, Ledger, Origin, Schedule, Window,
 };
-use basilhaven::gateway::usage::message::{Message, Outbox, Part, Target};
+use basilhaven::gateway::usage::message::{Message, Outbox, Part};
 use basilhaven::gateway::usage::{task::Usage, Settings};
 use quickcheck::quickcheck;
 
@@ -25,8 +25,8 @@
     Origin { host: address(host), incarnation: u64::from(host) << 50 }
 }
 
-fn target(host: u8) -> Target {
-    Target { host: address(host), incarnation: 1 }
+fn target(host: u8) -> Process {
+    Process { host: address(host), incarnation: 1 }
 }
 
 fn usage(host: u8) -> Usage {
@@ -54,7 +54,7 @@
 
 /// Delivers messages to a host, and its acknowledgements back, except those for which `is_lost`
 /// holds.
-fn deliver<F>(from: &Usage, to: &Usage, of: (u8, u8), targets: &[Target], mut is_lost: F)
+fn deliver<F>(from: &Usage, to: &Usage, of: (u8, u8), targets: &[Process], mut is_lost: F)
 where
     F: FnMut() -> bool,
 {
@@ -241,7 +241,7 @@
     let sender = usage(1);
     sender.counter.record(Some(&"kaje80".into()), Instant::now());
     deliver(&sender, &usage(2), (1, 2), &[target(2)], || false);
-    let (again, targets) = (usage(2), [Target { incarnation: 2, ..target(2) }]);
+    let (again, targets) = (usage(2), [Process { incarnation: 2, ..target(2) }]);
     deliver(&sender, &again, (1, 2), &targets, || false);
     assert_eq!(total(&again.counter.ledger.borrow()).get("kaje80"), Some(&1));
 }
