Look up a known host once when a heartbeat is merged

The loop looked the host up three times and nested what follows from a newer heartbeat four levels deep; keep_known repeated the comparison of processes. The order of the decisions and their outcomes stay; all tests pass unchanged.

--- a/crates/basilhaven/src/gateway/cluster/gossip.rs
+++ b/crates/basilhaven/src/gateway/cluster/gossip.rs
@@ -1,7 +1,7 @@
 //! Which heartbeats hosts send to each other, and what a host learns from them.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use super::roles::STORE_FAILURE_TIME;
 use super::{Heartbeat, Members, Peer, State, View};
@@ -27,43 +27,39 @@
         let mut peers = self.peers.borrow_mut();
         let mut has_new = false;
         for &heartbeat in heartbeats.iter().filter(|heartbeat| heartbeat.peer_addr() != own) {
-            let is_direct = heartbeat.peer_addr() == from;
-            let is_newer = match peers.get(&heartbeat.peer_addr()) {
-                None => true,
-                Some(known) if known.heartbeat.incarnation == heartbeat.incarnation => {
-                    heartbeat.sequence > known.heartbeat.sequence
-                }
+            let address = heartbeat.peer_addr();
+            let known = peers.get(&address).copied();
+            let same_process =
+                known.filter(|known| known.heartbeat.incarnation == heartbeat.incarnation);
+            let is_newer = match (same_process, known) {
+                (Some(known), _) => heartbeat.sequence > known.heartbeat.sequence,
                 // A new incarnation counts only if the host itself sent it, or the known one is
                 // dead.
-                Some(known) => {
-                    is_direct || now.saturating_duration_since(known.received_at) > dead_after
+                (None, Some(known)) => {
+                    address == from || now.saturating_duration_since(known.received_at) > dead_after
                 }
+                (None, None) => true,
             };
-            if is_newer {
-                let mut heartbeat = heartbeat;
-                let age = Duration::from_millis(heartbeat.age_ms.into());
-                let sent_at = now.checked_sub(age).unwrap_or(now);
-                let mut received_at = now;
-                match peers.get(&heartbeat.peer_addr()) {
-                    Some(known) => heartbeat.keep_known(&known.heartbeat),
-                    // A known host has been heard of with its earlier heartbeats.
-                    None => received_at = sent_at,
-                }
-                let peer = Peer { heartbeat, received_at, sent_at };
-                let known = peers.insert(heartbeat.peer_addr(), peer);
-                let is_known =
-                    known.is_some_and(|known| known.heartbeat.incarnation == heartbeat.incarnation);
-                let has_same_state = known.is_some_and(|known| {
-                    known.heartbeat.state == heartbeat.state
-                        && known.heartbeat.reach == heartbeat.reach
-                });
-                if !is_known {
-                    has_new = true;
-                    self.last_met.set(now);
-                }
-                if !is_known || !has_same_state {
-                    self.advertised.borrow_mut().invalidate();
-                }
+            if !is_newer {
+                continue;
+            }
+            let mut heartbeat = heartbeat;
+            if let Some(known) = same_process {
+                heartbeat.keep_known(&known.heartbeat);
+            }
+            let sent_at = now.checked_sub(heartbeat.age()).unwrap_or(now);
+            // A known host has been heard of with its earlier heartbeats.
+            let received_at = if known.is_some() { now } else { sent_at };
+            peers.insert(address, Peer { heartbeat, received_at, sent_at });
+            if same_process.is_none() {
+                has_new = true;
+                self.last_met.set(now);
+            }
+            let has_same_state = same_process.is_some_and(|known| {
+                known.heartbeat.state == heartbeat.state && known.heartbeat.reach == heartbeat.reach
+            });
+            if !has_same_state {
+                self.advertised.borrow_mut().invalidate();
             }
         }
         has_new
--- a/crates/basilhaven/src/gateway/cluster/heartbeat.rs
+++ b/crates/basilhaven/src/gateway/cluster/heartbeat.rs
@@ -1,6 +1,7 @@
 //! What hosts tell each other of themselves.
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -75,12 +76,14 @@
         self.reach == reach::Reach::Nothing
     }
 
+    /// Returns the time since the host itself sent this heartbeat, as far as it is known.
+    pub(super) fn age(&self) -> Duration {
+        Duration::from_millis(self.age_ms.into())
+    }
+
     /// Keeps what is known of the same process besides if this heartbeat was forwarded: hosts of an
     /// earlier build drop the reach, and the view is sent only by the host itself.
     pub(super) fn keep_known(&mut self, known: &Heartbeat) {
-        if self.incarnation != known.incarnation {
-            return;
-        }
         if self.reach == reach::Reach::Unknown {
             self.reach = known.reach;
         }
