Give back a share in constant time

Each share that ended searched the list of all holders, several times a call, and each accepted connection counted the list twice. With thousands of idle connections under a limit that is work on every call that need not be there.

Holders are kept by number, and open connections are counted as they come and go. Ties between holders are decided as before, for the newest.

--- a/crates/basilhaven/src/gateway/memory.rs
+++ b/crates/basilhaven/src/gateway/memory.rs
@@ -10,6 +10,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use indexmap::IndexMap;
+
 use super::notify;
 
 /// The part of the process's memory that callers' bytes may take. The rest is for the program, the
@@ -111,6 +113,8 @@
 /// What one holder has received lately, and whether it may be dropped.
 #[derive(Debug)]
 struct Holder {
+    /// Increases with each holder.
+    number: u64,
     purpose: Purpose,
     phase: Cell<Phase>,
     bytes: Cell<usize>,
@@ -178,7 +182,10 @@
     max_connections: Option<usize>,
     /// The number from which on a descriptor is one too many.
     max_fd: Option<usize>,
-    holders: RefCell<Vec<Rc<Holder>>>,
+    /// The holders by number.
+    holders: RefCell<IndexMap<u64, Rc<Holder>>>,
+    next_number: Cell<u64>,
+    open_connections: Cell<usize>,
     held: [Cell<usize>; Purpose::ALL.len()],
     /// Notified when bytes or connections are released, and when a holder is dropped.
     pub released: notify::Notifier,
@@ -194,6 +201,8 @@
             max_connections: fds.map(of_fds),
             max_fd: fds.map(|fds| fds.saturating_sub(SPARE_FDS).max(MIN_CONNECTIONS)),
             holders: RefCell::default(),
+            next_number: Cell::default(),
+            open_connections: Cell::default(),
             held: Default::default(),
             released: notify::Notifier::default(),
         }
@@ -216,7 +225,9 @@
 
     /// Registers a holder, which holds nothing yet.
     pub fn share(self: &Rc<Budget>, purpose: Purpose, phase: Phase, now: Instant) -> Share {
+        let number = self.next_number.replace(self.next_number.get() + 1);
         let holder = Rc::new(Holder {
+            number,
             purpose,
             phase: Cell::new(phase),
             bytes: Cell::default(),
@@ -227,7 +238,10 @@
         });
         // Without a limit no holder is ever looked for.
         if self.limit.is_some() || self.max_connections.is_some() {
-            self.holders.borrow_mut().push(Rc::clone(&holder));
+            self.holders.borrow_mut().insert(number, Rc::clone(&holder));
+        }
+        if purpose == Purpose::Connection {
+            self.open_connections.set(self.open_connections.get() + 1);
         }
         Share { budget: Rc::clone(self), holder }
     }
@@ -259,21 +273,19 @@
         let (Some(max), Some(max_fd)) = (self.max_connections, self.max_fd) else {
             return Decision::Granted;
         };
-        let holders = self.holders.borrow();
-        let is_connection = |holder: &&Rc<Holder>| holder.purpose == Purpose::Connection;
-        let open = holders.iter().filter(is_connection).count();
-        let leaving = holders.iter().filter(is_connection).filter(|h| h.is_dropped.get()).count();
-        if open < max && fd < max_fd {
+        if self.open_connections.get() < max && fd < max_fd {
             return Decision::Granted;
         }
-        if leaving > 0 {
+        let holders = self.holders.borrow();
+        let connections = || holders.values().filter(|h| h.purpose == Purpose::Connection);
+        if connections().any(|holder| holder.is_dropped.get()) {
             return Decision::Wait;
         }
         let idle_time = |holder: &&Rc<Holder>| {
             let is_idle = holder.bytes.get() == 0;
-            (is_idle, now.saturating_duration_since(holder.window.get().0))
+            (is_idle, now.saturating_duration_since(holder.window.get().0), holder.number)
         };
-        let droppable = holders.iter().filter(is_connection).filter(|h| h.is_droppable());
+        let droppable = connections().filter(|holder| holder.is_droppable());
         match droppable.max_by_key(idle_time) {
             Some(victim) => {
                 metrics::counter!("basilhaven_connections_dropped_total").increment(1);
@@ -325,7 +337,7 @@
         let held = self.total();
         let holders = self.holders.borrow();
         loop {
-            let leaving = holders.iter().filter(|holder| holder.is_dropped.get());
+            let leaving = holders.values().filter(|holder| holder.is_dropped.get());
             let leaving: usize = leaving.map(|holder| holder.bytes.get()).sum();
             if held.saturating_sub(leaving) + more <= available {
                 return Decision::Wait;
@@ -334,9 +346,9 @@
             let rank = |other: &&Rc<Holder>| {
                 let is_own = Rc::ptr_eq(other, holder);
                 let len = if is_own { len } else { other.bytes.get() };
-                (other.has_stalled(now), len, Reverse(is_own))
+                (other.has_stalled(now), len, Reverse(is_own), other.number)
             };
-            let droppable = holders.iter().filter(|other| other.is_droppable());
+            let droppable = holders.values().filter(|other| other.is_droppable());
             let droppable =
                 droppable.filter(|other| other.bytes.get() > 0 || Rc::ptr_eq(other, holder));
             match droppable.max_by_key(rank) {
@@ -470,7 +482,10 @@
 impl Drop for Share {
     fn drop(&mut self) {
         self.release(self.len());
-        self.budget.holders.borrow_mut().retain(|holder| !Rc::ptr_eq(holder, &self.holder));
+        self.budget.holders.borrow_mut().swap_remove(&self.holder.number);
+        if self.holder.purpose == Purpose::Connection {
+            self.budget.open_connections.set(self.budget.open_connections.get() - 1);
+        }
         self.budget.released.notify();
     }
 }
