Compute the bound on bodies in transit for large bodies only

Each attempt copied the limits of the configuration and computed this host's share of the budgets, although most calls have small bodies or none, which are never counted.

--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -312,7 +312,8 @@
         upstream: &'a upstream::Upstream,
     ) -> Result<memory::InTransit<'a>, attempt::Cause> {
         let (frontend, call) = (self.frontend, self.task.call);
-        let max = match frontend.memory.is_bounded() {
+        // The bound is not computed for small bodies, which are not counted.
+        let max = match frontend.memory.is_bounded() && call.body.len() > memory::SMALL_LEN {
             true => memory::max_transit_len(
                 frontend.config.limits().max_body_len,
                 frontend.members.budget_share(Instant::now()),
--- a/crates/basilhaven/src/gateway/memory.rs
+++ b/crates/basilhaven/src/gateway/memory.rs
@@ -25,7 +25,7 @@
 
 /// Bytes that a holder may take from the reserve. The largest kind of ordinary call sends 60 kB on
 /// average.
-const SMALL_LEN: usize = 64 * 1024;
+pub const SMALL_LEN: usize = 64 * 1024;
 
 /// The part of the budget that one response may take that its caller reads slowly.
 const RESPONSE_SHARE: f64 = 0.125;
