Build the requirements of a call in one place in the tests

Four tests wrote out all fields of a call that is to be placed and differed in a few times only. One function builds them; values and assertions stay.

--- a/crates/basilhaven/tests/gateway/connections.rs
+++ b/crates/basilhaven/tests/gateway/connections.rs
@@ -12,11 +12,10 @@
 use basilhaven::gateway::cluster::name_hash;
 use basilhaven::gateway::protocol::Load;
 use basilhaven::gateway::round_trips::RoundTrips;
+use basilhaven::gateway::selection;
 use basilhaven::gateway::upstream::{Entry, Upstream};
-use basilhaven::gateway::{balancer, selection};
-use basilhaven::profile::Idempotency;
 
-use crate::entry;
+use crate::{entry, requirements};
 
 const DATA_CENTRES: [&str; 3] = ["a", "b", "c"];
 const HOSTS: usize = 24;
@@ -190,20 +189,8 @@
             return false;
         };
         let at = |after: u64| self.start + Duration::from_millis(arrived + after);
-        let requirements = balancer::Requirements {
-            service: &"catalogo".into(),
-            priority: 0,
-            organisation: None,
-            tried_upstreams: &[],
-            queue_until: at(2000),
-            deadline: at(2200),
-            target_at: at(600),
-            arrived_at: at(0),
-            age: None,
-            baseline: Duration::from_millis(WORK_MS),
-            may_be_passed_on: false,
-            idempotency: Idempotency::Idempotent,
-        };
+        let service = "catalogo".into();
+        let requirements = requirements(&service, at(0), (600, 2000, 2200), WORK_MS);
         if !requirements.accepts(cost, now) {
             return false;
         }
--- a/crates/basilhaven/tests/gateway/main.rs
+++ b/crates/basilhaven/tests/gateway/main.rs
@@ -26,9 +26,10 @@
 use std::time::{Duration, Instant};
 
 use basilhaven::gateway::cluster::{Members, Record};
-use basilhaven::gateway::protocol;
 use basilhaven::gateway::updates::Replica;
 use basilhaven::gateway::upstream::{Entry, Upstream};
+use basilhaven::gateway::{balancer, protocol};
+use basilhaven::profile::Idempotency;
 
 /// Returns the entry of an upstream with four slots.
 fn entry(service: &str, version: &str, data_centre: &str) -> Entry {
@@ -64,3 +65,29 @@
 fn load(running: u32, slowdown: f32) -> protocol::Load {
     protocol::Load { running, waiting: 0, slots: 4, slowdown }
 }
+
+/// Returns the requirements of an idempotent call that arrives now. `limits` are the times from now
+/// until its latency target, the end of its wait, and its deadline, all in milliseconds.
+fn requirements(
+    service: &Rc<str>,
+    now: Instant,
+    limits: (u64, u64, u64),
+    baseline_ms: u64,
+) -> balancer::Requirements<'_> {
+    let (target, queue, deadline) = limits;
+    let after = |ms| now + Duration::from_millis(ms);
+    balancer::Requirements {
+        service,
+        priority: 0,
+        organisation: None,
+        tried_upstreams: &[],
+        queue_until: after(queue),
+        deadline: after(deadline),
+        target_at: after(target),
+        arrived_at: now,
+        age: None,
+        baseline: Duration::from_millis(baseline_ms),
+        may_be_passed_on: false,
+        idempotency: Idempotency::Idempotent,
+    }
+}
--- a/crates/basilhaven/tests/gateway/room.rs
+++ b/crates/basilhaven/tests/gateway/room.rs
@@ -8,10 +8,9 @@
 
 use basilhaven::gateway::round_trips::RoundTrips;
 use basilhaven::gateway::upstream::Upstream;
-use basilhaven::gateway::{balancer, room, selection, shares};
-use basilhaven::profile::Idempotency;
+use basilhaven::gateway::{room, selection, shares};
 
-use crate::{load, upstream};
+use crate::{load, requirements, upstream};
 
 /// Upstreams have three slots, as those of the users' platform.
 const SLOTS: u32 = 3;
@@ -545,20 +544,8 @@
         }
     }
     upstreams.iter().for_each(|one| one.record_report(load(0, 1.0), now));
-    let lookup = balancer::Requirements {
-        service: &"catalogo".into(),
-        priority: 0,
-        organisation: None,
-        tried_upstreams: &[],
-        queue_until: now + ms(1900),
-        deadline: now + ms(2000),
-        target_at: now + ms(500),
-        arrived_at: now,
-        age: None,
-        baseline: ms(220),
-        may_be_passed_on: false,
-        idempotency: Idempotency::Idempotent,
-    };
+    let service = "catalogo".into();
+    let lookup = requirements(&service, now, (500, 1900, 2000), 220);
     let context = selection::Context {
         data_centre: "a",
         baseline: ms(220),
--- a/crates/basilhaven/tests/gateway/selection.rs
+++ b/crates/basilhaven/tests/gateway/selection.rs
@@ -11,7 +11,7 @@
 use basilhaven::gateway::{balancer, selection};
 use basilhaven::profile::Idempotency;
 
-use crate::{entry, load, upstream};
+use crate::{entry, load, requirements, upstream};
 
 /// Returns the context of a call with a baseline of 100 ms at a host in data centre `a`.
 fn context(round_trips: &RoundTrips) -> Context<'_> {
@@ -111,21 +111,8 @@
 #[test]
 fn a_call_waits_for_a_fast_upstream_while_one_can_meet_its_target() {
     let now = Instant::now();
-    let ms = Duration::from_millis;
-    let requirements = balancer::Requirements {
-        service: &"catalogo".into(),
-        priority: 0,
-        organisation: None,
-        tried_upstreams: &[],
-        queue_until: now + ms(700),
-        deadline: now + ms(800),
-        target_at: now + ms(250),
-        arrived_at: now,
-        age: None,
-        baseline: ms(90),
-        may_be_passed_on: false,
-        idempotency: Idempotency::Idempotent,
-    };
+    let (service, ms) = ("catalogo".into(), Duration::from_millis);
+    let requirements = requirements(&service, now, (250, 700, 800), 90);
     assert!(requirements.accepts(1.3, now));
     assert!(!requirements.accepts(4.0, now), "360 ms for a target of 250");
     assert!(
@@ -143,18 +130,8 @@
     let ms = Duration::from_millis;
     let service = "catalogo".into();
     let requirements = |idempotency| balancer::Requirements {
-        service: &service,
-        priority: 0,
-        organisation: None,
-        tried_upstreams: &[],
-        queue_until: now + ms(700),
-        deadline: now + ms(800),
-        target_at: now + ms(250),
-        arrived_at: now,
-        age: None,
-        baseline: ms(90),
-        may_be_passed_on: false,
         idempotency,
+        ..requirements(&service, now, (250, 700, 800), 90)
     };
     let [safe, once] = [Idempotency::Idempotent, Idempotency::AtMostOnce].map(requirements);
     let one = upstream("one", "v1", "a", now);
