Share the waits and changed configurations of the gateway tests

clients.rs had a copy of the fixture's wait_until, and four tests parsed the configuration again to change one field. Both now stand in the bench library. Time limits and assertions stay.

--- a/crates/basilhaven-bench/src/gateway.rs
+++ b/crates/basilhaven-bench/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Read as _, Write as _};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::process::{self, Process};
 use crate::standin::users::store::Store;
@@ -10,6 +10,9 @@
 /// How long a caller waits for a response.
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Timeout of [`wait_until`].
+const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// The service to which all routes lead unless a test chooses another.
 pub const SERVICE: &str = "catalogo";
 
@@ -31,6 +34,14 @@
 
 /// Returns a configuration of this version, with the routes `/safe/` and `/unsafe/` to a service.
 pub fn config(version: u64, service: &str) -> String {
+    config_with(version, service, |_| {})
+}
+
+/// Returns a [`config`] after a change.
+pub fn config_with<F>(version: u64, service: &str, change: F) -> String
+where
+    F: FnOnce(&mut serde_json::Value),
+{
     let route = |prefix: &str, kind: &str| {
         serde_json::json!({
             "Name": format!("r-{kind}"), "Prefix": prefix, "Kind": kind, "TimeoutS": 2,
@@ -43,7 +54,7 @@
             "Tls": false, "ColdStartS": 3.0, "ColdPerS": 10.0,
         })
     };
-    let config = serde_json::json!({
+    let mut config = serde_json::json!({
         "Version": format!("{version:08x}"),
         "Services": [service(SERVICE), service(OTHER_SERVICE)],
         "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1000000, "HeaderTimeoutS": 3,
@@ -51,9 +62,22 @@
         "VirtualHosts": [{"Host": "shop.example",
                           "Paths": [route("/safe/", "safe"), route("/unsafe/", "unsafe")]}],
     });
+    change(&mut config);
     config.to_string()
 }
 
+/// Waits until a condition holds; panics with `what` after [`WAIT_TIMEOUT`].
+pub async fn wait_until<F>(what: &str, condition: F)
+where
+    F: Fn() -> bool,
+{
+    let until = Instant::now() + WAIT_TIMEOUT;
+    while !condition() {
+        assert!(Instant::now() < until, "not in time: {what}");
+        monoio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// A running gateway.
 pub struct Host {
     /// The process.
--- a/crates/basilhaven-bench/tests/clients.rs
+++ b/crates/basilhaven-bench/tests/clients.rs
@@ -11,9 +11,9 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Barrier, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use basilhaven_bench::gateway::{config, receive, Host, SERVICE};
+use basilhaven_bench::gateway::{config_with, receive, wait_until, Host, SERVICE};
 use basilhaven_bench::standin::block_on;
 use basilhaven_bench::standin::users::store::Store;
 use basilhaven_bench::standin::users::upstream::{Behaviour, Endless, Upstream};
@@ -52,9 +52,6 @@
 /// How long a client that the gateway neither reads from nor closes waits before it gives up.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Limit on each wait of a test.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
-
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Serializes the tests.
@@ -81,9 +78,10 @@
 impl Fixture {
     async fn start(max_body_len: usize) -> Fixture {
         let store = Store::start();
-        let mut config: serde_json::Value = serde_json::from_str(&config(1, SERVICE)).unwrap();
-        config["Limits"]["MaxBodyBytes"] = max_body_len.into();
-        store.put("op", "config", &config.to_string());
+        let config = config_with(1, SERVICE, |config| {
+            config["Limits"]["MaxBodyBytes"] = max_body_len.into();
+        });
+        store.put("op", "config", &config);
         let upstream = Upstream::start("i-0", Behaviour::Serves(Duration::ZERO));
         store.put("servers", &upstream.id, &upstream.entry(SERVICE, "v1", "ready"));
         let (memory, fds) = (MEMORY_MB.to_string(), MAX_FDS.to_string());
@@ -113,17 +111,6 @@
     }
 }
 
-async fn wait_until<F>(what: &str, condition: F)
-where
-    F: Fn() -> bool,
-{
-    let until = Instant::now() + WAIT_TIMEOUT;
-    while !condition() {
-        assert!(Instant::now() < until, "not in time: {what}");
-        monoio::time::sleep(Duration::from_millis(10)).await;
-    }
-}
-
 /// Samples what a gateway uses until it is finished.
 struct Monitor {
     is_finished: Arc<AtomicBool>,
--- a/crates/basilhaven-bench/tests/gateway/access.rs
+++ b/crates/basilhaven-bench/tests/gateway/access.rs
@@ -24,7 +24,7 @@
 use serde_json::{json, Value};
 
 use crate::fixture::{
-    config, receive, wait_until, Fixture, Host, Network, NO_RETRIES, PROMPT, SERVICE,
+    self, receive, wait_until, Fixture, Host, Network, NO_RETRIES, PROMPT, SERVICE,
 };
 
 /// The time within which a version must be in force on all hosts.
@@ -38,15 +38,15 @@
 
 /// Returns a configuration with organisations, and with the route `/open/`, which is public.
 fn config_with(version: u64, organisations: Value) -> String {
-    let mut config: Value = serde_json::from_str(&config(version, SERVICE)).expect("JSON");
-    config["Tenants"] = organisations;
-    let routes = config["VirtualHosts"][0]["Paths"].as_array_mut().expect("routes");
-    let mut open = routes[0].clone();
-    open["Name"] = json!("r-open");
-    open["Prefix"] = json!("/open/");
-    open["Public"] = json!(true);
-    routes.push(open);
-    config.to_string()
+    fixture::config_with(version, SERVICE, |config| {
+        config["Tenants"] = organisations;
+        let routes = config["VirtualHosts"][0]["Paths"].as_array_mut().expect("routes");
+        let mut open = routes[0].clone();
+        open["Name"] = json!("r-open");
+        open["Prefix"] = json!("/open/");
+        open["Public"] = json!(true);
+        routes.push(open);
+    })
 }
 
 fn two_organisations() -> Value {
--- a/crates/basilhaven-bench/tests/gateway/bodies.rs
+++ b/crates/basilhaven-bench/tests/gateway/bodies.rs
@@ -10,7 +10,7 @@
 use basilhaven_bench::standin::users::store::Store;
 use basilhaven_bench::standin::users::upstream::{Behaviour, Upstream};
 
-use crate::fixture::{config, receive, wait_until, Fixture, Host, PROMPT, SERVICE};
+use crate::fixture::{config_with, receive, wait_until, Fixture, Host, PROMPT, SERVICE};
 
 /// The longest body that the configuration allows, which does not fit into the sockets' buffers.
 const LONG_BODY_LEN: usize = 16_000_000;
@@ -96,9 +96,10 @@
 /// Starts a host with one upstream at this address.
 async fn start_host(address: SocketAddr, settings: &[(&str, &str)]) -> (Store, Host) {
     let store = Store::start();
-    let mut config: serde_json::Value = serde_json::from_str(&config(1, SERVICE)).unwrap();
-    config["Limits"]["MaxBodyBytes"] = LONG_BODY_LEN.into();
-    store.put("op", "config", &config.to_string());
+    let config = config_with(1, SERVICE, |config| {
+        config["Limits"]["MaxBodyBytes"] = LONG_BODY_LEN.into();
+    });
+    store.put("op", "config", &config);
     let upstream = Upstream::start("i-0", PROMPT);
     let entry = upstream.entry_at(address, "a", SERVICE, "v1", "ready");
     store.put("servers", "i-0", &entry);
--- a/crates/basilhaven-bench/tests/gateway/fixture.rs
+++ b/crates/basilhaven-bench/tests/gateway/fixture.rs
@@ -1,15 +1,14 @@
 //! The test fixture: a store, upstreams, one host, and helpers.
 
 use std::net::Ipv4Addr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-pub use basilhaven_bench::gateway::{config, free_peer_port, receive, send, Host, SERVICE};
+pub use basilhaven_bench::gateway::{
+    config, config_with, free_peer_port, receive, send, wait_until, Host, SERVICE,
+};
 use basilhaven_bench::standin::users::store::Store;
 use basilhaven_bench::standin::users::upstream::{Behaviour, Upstream};
 
-/// Timeout of [`wait_until`].
-pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
-
 /// An upstream that responds at once.
 pub const PROMPT: Behaviour = Behaviour::Serves(Duration::ZERO);
 
@@ -91,15 +90,3 @@
 pub fn know_each_other(hosts: &[Host]) -> bool {
     hosts.iter().all(|host| host.live_hosts() == Some(hosts.len()))
 }
-
-/// Waits until a condition holds; panics with `what` after a timeout.
-pub async fn wait_until<F>(what: &str, condition: F)
-where
-    F: Fn() -> bool,
-{
-    let until = Instant::now() + WAIT_TIMEOUT;
-    while !condition() {
-        assert!(Instant::now() < until, "not in time: {what}");
-        monoio::time::sleep(Duration::from_millis(10)).await;
-    }
-}
--- a/crates/basilhaven-bench/tests/gateway/passed_on.rs
+++ b/crates/basilhaven-bench/tests/gateway/passed_on.rs
@@ -10,7 +10,7 @@
 use basilhaven_bench::standin::users::store::Store;
 use basilhaven_bench::standin::users::upstream::{Behaviour, Echo, Upstream};
 
-use crate::fixture::{config, receive, Network, NO_RETRIES, SERVICE};
+use crate::fixture::{config, config_with, receive, Network, NO_RETRIES, SERVICE};
 
 /// Connects to a host as another host does that passes calls on.
 fn connect(network: &Network) -> TcpStream {
@@ -72,9 +72,10 @@
 fn a_body_that_is_too_long_ends_a_call_that_is_passed_on() {
     block_on(async {
         let store = Store::start();
-        let mut config: serde_json::Value = serde_json::from_str(&config(1, SERVICE)).unwrap();
-        config["Limits"]["MaxBodyBytes"] = 1000.into();
-        store.put("op", "config", &config.to_string());
+        let config = config_with(1, SERVICE, |config| {
+            config["Limits"]["MaxBodyBytes"] = 1000.into();
+        });
+        store.put("op", "config", &config);
         let network = Network::new(177, 1);
         let _hosts = network.start_all(&store, &NO_RETRIES).await;
         let announced = pass_on(&mut connect(&network), "id-1", 1, "Content-Length: 1001\r\n");
