--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod entries;
 mod limit;
 mod platform;
 
@@ -11,6 +12,12 @@
         eprintln!("usage: standin CASE FOLDER");
         std::process::exit(2);
     };
+    // A stand-in that fails makes no verdict.
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        report(panic);
+        std::process::exit(2);
+    }));
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let temporary = std::env::temp_dir().join(format!("basilhaven-review-{}", std::process::id()));
     if std::fs::create_dir_all(&temporary).is_err() {
@@ -19,6 +26,7 @@
     let record = platform::Record::new();
     let logs = temporary.display().to_string();
     let result = match &**case {
+        "entries" => entries::run(&record, &logs, has_trouble),
         "limit" => limit::run(&record, &logs, has_trouble),
         _ => None,
     };
