--- a/review/standin-2/entries.rs
+++ b/review/standin-2/entries.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::platform::{call, config, machines, wait_until, Backend, Record, Store};
+use crate::platform::{self, call, config, machines, wait_until, Backend, Record, Store};
 
 const SERVICE: &str = "catalogo";
 const MACHINES: usize = 3;
@@ -33,7 +33,7 @@
     let _backends: Vec<Arc<Backend>> = (0..BACKENDS)
         .map(|n| Backend::start(&format!("i-{n:04x}"), SERVICE, Duration::from_millis(30), &store))
         .collect();
-    let all = machines(MACHINES, store.address, logs, 260);
+    let all = machines(MACHINES, store.address, logs, platform::CVF);
     if !wait_until(Duration::from_secs(15), || all.iter().all(|m| m.is_ready())) {
         record.say("the machines did not get ready".to_owned());
         all.iter().for_each(|machine| machine.stop());
--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -326,6 +326,9 @@
         let fields = lines.filter_map(|line| line.split_once(':'));
         message.fields =
             fields.map(|(n, v)| (n.to_ascii_lowercase(), v.trim().to_owned())).collect();
+        if message.field("transfer-encoding").is_some() {
+            return Err(io::Error::other("no stand-in reads chunks"));
+        }
         let len = message.field("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
         while self.buffer.len() < len {
             if self.fill()? == 0 {
@@ -567,6 +570,8 @@
     /// The field `Server-Limit` of its answers; empty for none.
     pub limit: Mutex<String>,
     pub work: Mutex<Duration>,
+    /// The status of its answers to requests that it has run and failed; 0 while it fails none.
+    pub failure: Mutex<u16>,
     pub is_listed: AtomicBool,
     running: AtomicUsize,
     slots: usize,
@@ -588,6 +593,7 @@
             runs: Mutex::default(),
             limit: Mutex::default(),
             work: Mutex::new(work),
+            failure: Mutex::new(0),
             is_listed: AtomicBool::new(true),
             running: AtomicUsize::new(0),
             slots: 4,
@@ -664,7 +670,9 @@
             let signature = format!("{}.1", self.id);
             fields.push(("X-Basilhaven-Server-Signature", &*signature));
             let body = format!("{id} by {}", self.id);
-            if conn.respond(200, &fields, body.as_bytes()).is_err() {
+            let failure = *self.failure.lock().unwrap();
+            let status = if failure == 0 { 200 } else { failure };
+            if conn.respond(status, &fields, body.as_bytes()).is_err() {
                 return;
             }
         }
@@ -675,21 +683,23 @@
     }
 }
 
-/// A configuration with the routes `/safe/` and `/unsafe/`, both to one service.
+/// A configuration with the routes `/safe/`, `/unsafe/` and `/upload/`, all to one service.
 pub fn config(version: u64, service: &str) -> String {
     let route = |prefix: &str, kind: &str| {
         format!(
-            "{{\"Name\":\"r-{kind}\",\"Prefix\":\"{prefix}\",\"Kind\":\"{kind}\",\"TimeoutS\":1.0,\
-             \"TargetLatencyS\":0.3,\"Priority\":1,\"Service\":\"{service}\",\"MaxAttempts\":2}}"
+            "{{\"Name\":\"r-{kind}\",\"Prefix\":\"{prefix}\",\"Kind\":\"{kind}\",\"TimeoutS\":{},\
+             \"TargetLatencyS\":0.3,\"Priority\":1,\"Service\":\"{service}\",\"MaxAttempts\":2}}",
+            if kind == "upload" { 2.5 } else { 1.0 }
         )
     };
     format!(
         "{{\"Version\":\"{version:08x}\",\"Services\":[{{\"Name\":\"{service}\",\"HealthPath\":\"/healthz\",\
          \"MaxConns\":220,\"Protocol\":\"h1\",\"Tls\":false,\"ColdStartS\":3.0,\"ColdPerS\":10.0}}],\
          \"Limits\":{{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":1000000,\"HeaderTimeoutS\":3,\"IdleTimeoutS\":15}},\
-         \"VirtualHosts\":[{{\"Host\":\"shop.example\",\"Paths\":[{},{}]}}]}}",
+         \"VirtualHosts\":[{{\"Host\":\"shop.example\",\"Paths\":[{},{},{}]}}]}}",
         route("/safe/", "safe"),
-        route("/unsafe/", "unsafe")
+        route("/unsafe/", "unsafe"),
+        route("/upload/", "upload")
     )
 }
 
@@ -722,8 +732,20 @@
     }
 }
 
+/// What the settings say of a machine.
+#[derive(Debug, Clone, Copy)]
+pub struct Class {
+    pub cpu_share: f64,
+    pub memory_mb: u64,
+    pub link_mbps: u64,
+}
+
+/// The machines of the site `cvf-gateway`, and most of those of `mpew-ladowanie-grown`.
+pub const CVF: Class = Class { cpu_share: 0.2, memory_mb: 260, link_mbps: 1000 };
+pub const MPEW: Class = Class { cpu_share: 0.1, memory_mb: 160, link_mbps: 10 };
+
 /// Starts machines with the command of the deploy file, on addresses of their own.
-pub fn machines(count: usize, store: SocketAddr, folder: &str, memory_mb: u64) -> Vec<Arc<Machine>> {
+pub fn machines(count: usize, store: SocketAddr, folder: &str, class: Class) -> Vec<Arc<Machine>> {
     let net = std::process::id() % 200 + 20;
     let ips: Vec<String> = (0..count).map(|n| format!("127.77.{net}.{}", n + 1)).collect();
     let ports: Vec<u16> = {
@@ -752,7 +774,7 @@
                 ("DIRECTORY", at(3)),
                 ("PEER", at(0)),
                 ("METRICS", at(4)),
-                ("CORES", "0.2".to_owned()),
+                ("CORES", class.cpu_share.to_string()),
                 ("STORE", store.to_string()),
                 ("SEEDS", seeds.join(",")),
                 ("FIRST_START", "false".to_owned()),
@@ -764,9 +786,9 @@
                 ("HEARTBEAT_S", "1.5".to_owned()),
                 ("EXPOSURE_SHARE", "0.1".to_owned()),
                 ("ORDERS_WITHIN_S", "2".to_owned()),
-                ("MEMORY_MB", memory_mb.to_string()),
+                ("MEMORY_MB", class.memory_mb.to_string()),
                 ("MAX_FDS", "4100".to_owned()),
-                ("LINK_MBPS", "1000".to_owned()),
+                ("LINK_MBPS", class.link_mbps.to_string()),
             ];
             Arc::new(Machine {
                 settings: settings.iter().map(|(n, v)| (format!("BASILHAVEN_{n}"), v.clone())).collect(),
