--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 
 mod entries;
 mod failure;
+mod held;
 mod limit;
 mod platform;
 
@@ -29,6 +30,7 @@
     let result = match &**case {
         "entries" => entries::run(&record, &logs, has_trouble),
         "failure" => failure::run(&record, &logs, has_trouble),
+        "held" => held::run(&record, &logs, has_trouble),
         "limit" => limit::run(&record, &logs, has_trouble),
         _ => None,
     };
