--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod entries;
+mod failure;
 mod held;
 mod limit;
 mod tiny;
@@ -29,6 +30,7 @@
     let logs = temporary.display().to_string();
     let result = match &**case {
         "entries" => entries::run(&record, &logs, has_trouble),
+        "failure" => failure::run(&record, &logs, has_trouble),
         "held" => held::run(&record, &logs, has_trouble),
         "limit" => limit::run(&record, &logs, has_trouble),
         "tiny" => tiny::run(&record, &logs, has_trouble),
--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::unix::process::CommandExt as _;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -732,6 +733,19 @@
     }
 }
 
+extern "C" {
+    fn prctl(option: i32, value: u64, a: u64, b: u64, c: u64) -> i32;
+}
+
+/// Makes this process end when the thread that has started it ends.
+fn end_with_parent() -> io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const KILL: u64 = 9;
+    // It takes numbers only, and changes nothing but what happens at the end of the parent.
+    unsafe { prctl(PR_SET_PDEATHSIG, KILL, 0, 0, 0) };
+    Ok(())
+}
+
 /// What the settings say of a machine.
 #[derive(Debug, Clone, Copy)]
 pub struct Class {
@@ -817,6 +831,8 @@
         let mut command = Command::new("target/release/basilhavend");
         command.arg("gateway").env_clear().envs(self.settings.iter().cloned());
         command.stdin(Stdio::null()).stdout(open()).stderr(open());
+        // SAFETY: the function allocates nothing and takes no lock.
+        unsafe { command.pre_exec(end_with_parent) };
         let child = command.spawn().expect("target/release/basilhavend is built");
         *self.child.lock().unwrap() = Some(child);
         self.starts.fetch_add(1, Ordering::SeqCst);
