--- a/review/standin-2/limit.rs
+++ b/review/standin-2/limit.rs
@@ -1,4 +1,5 @@
-//! Backends in need name a `Server-Limit` of next to nothing.
+//! The backends of one service are in need and name a `Server-Limit` of next to nothing; those of
+//! another one are well.
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -7,6 +8,7 @@
 use crate::platform::{self, call, config, machines, wait_until, Backend, Record, Store};
 
 const SERVICE: &str = "catalogo";
+const OTHER_SERVICE: &str = "spedizioni";
 const MACHINES: usize = 3;
 const BACKENDS: usize = 3;
 const CLIENTS: usize = 6;
@@ -24,13 +26,31 @@
     failed: AtomicUsize,
 }
 
+/// A configuration with a second service, to which `/bulk/` leads.
+fn config_with_other() -> String {
+    let config = config(1, SERVICE);
+    let service = format!(
+        "\"Services\":[{{\"Name\":\"{OTHER_SERVICE}\",\"HealthPath\":\"/healthz\",\"MaxConns\":220,\
+         \"Protocol\":\"h1\",\"Tls\":false,\"ColdStartS\":3.0,\"ColdPerS\":10.0}},"
+    );
+    let route = format!(
+        "\"Paths\":[{{\"Name\":\"r-bulk\",\"Prefix\":\"/bulk/\",\"Kind\":\"unsafe\",\"TimeoutS\":1.0,\
+         \"TargetLatencyS\":0.3,\"Priority\":0,\"Service\":\"{OTHER_SERVICE}\",\"MaxAttempts\":2}},"
+    );
+    let config = config.replacen("\"Services\":[", &service, 1);
+    config.replacen("\"Paths\":[", &route, 1)
+}
+
 /// Returns whether the rule held; `None` if the case could not run.
 pub fn run(record: &Record, logs: &str, has_trouble: bool) -> Option<bool> {
     let store = Store::start();
-    store.put("op", "config", Some(&config(1, SERVICE)));
+    store.put("op", "config", Some(&config_with_other()));
     let backends: Vec<Arc<Backend>> = (0..BACKENDS)
         .map(|n| Backend::start(&format!("i-{n:04x}"), SERVICE, Duration::from_millis(30), &store))
         .collect();
+    let others: Vec<Arc<Backend>> = (0..BACKENDS)
+        .map(|n| Backend::start(&format!("j-{n:04x}"), OTHER_SERVICE, Duration::from_millis(100), &store))
+        .collect();
     let all = machines(MACHINES, store.address, logs, platform::CVF);
     if !wait_until(Duration::from_secs(15), || all.iter().all(|m| m.is_ready())) {
         record.say("the machines did not get ready".to_owned());
@@ -53,7 +73,7 @@
                     let id = format!("c{client}-{number}");
                     let front = all[(client + number) % all.len()].front;
                     let (method, path) =
-                        [("GET", "/safe/a"), ("POST", "/unsafe/a")][number % 2];
+                        [("GET", "/safe/a"), ("POST", "/unsafe/a"), ("PUT", "/bulk/a")][number / 3 % 3];
                     match call(front, method, path, &id, 1000) {
                         Ok(answer) if answer.status() == 200 => {
                             counts.answered.fetch_add(1, Ordering::SeqCst);
@@ -84,7 +104,7 @@
     all.iter().for_each(|machine| machine.stop());
     let ends: Vec<usize> = all.iter().map(|m| m.own_ends.load(Ordering::SeqCst)).collect();
     let runs: Vec<String> =
-        backends.iter().flat_map(|b| b.runs.lock().unwrap().clone()).map(|run| run.id).collect();
+        backends.iter().chain(&others).flat_map(|b| b.runs.lock().unwrap().clone()).map(|run| run.id).collect();
     let unanswered = unanswered.lock().unwrap();
     let lost = unanswered.iter().filter(|id| runs.contains(id)).count();
     record.say(format!(
