Read lists page by page, whatever the keys of other writers are

Cause: the key that ends a page went into the target of the request for the next page as it was. A space makes the target invalid, `&` and `#` cut the parameter off, so that the same page is read again without end. On the same path all pages together had to arrive within 1.4 s, a failed page threw away those before it, a page without a readable key ended the list, and rows on usage were limited to one page.

`Store::read_page` reads one page, and `listing::Listing` decides on the next: it keeps pages that were read, asks for fewer rows after a failure, and ends with an error that names the key if a page does not lead on. Unreadable rows are dropped page by page, and their log lines are bounded. The stand-in of the store decodes targets now.

--- a/crates/basilhaven-bench/src/standin/users/store.rs
+++ b/crates/basilhaven-bench/src/standin/users/store.rs
@@ -81,6 +81,8 @@
     loss: f64,
     /// Rows of the list of upstreams as text, which need not be valid.
     odd_rows: Vec<String>,
+    /// The most rows of a page, whatever a request asks for.
+    max_page_len: usize,
     calls: u64,
     full_reads: Vec<String>,
 }
@@ -154,6 +156,7 @@
             lost_changes: None,
             loss: 0.0,
             odd_rows: Vec::new(),
+            max_page_len: 500,
             calls: 0,
             full_reads: Vec::new(),
         };
@@ -236,6 +239,11 @@
         self.lock().odd_rows.push(row.to_owned());
     }
 
+    /// Sets the most rows of a page, whatever a request asks for.
+    pub fn set_max_page_len(&self, rows: usize) {
+        self.lock().max_page_len = rows;
+    }
+
     /// Loses so many responses of the feed of a table that carry changes: their connections stay open
     /// and deliver nothing more.
     pub fn lose_changes(&self, table: &str, count: usize) {
@@ -365,11 +373,14 @@
 
     fn read(&self, request: &Request) -> Vec<u8> {
         let table = request.parameter("Table").unwrap_or_default();
-        let from = request.parameter("From").unwrap_or_default().replace("%00", "\0");
+        let from = request.parameter("From").unwrap_or_default();
+        let from: Vec<u8> = percent_encoding::percent_decode_str(from).collect();
         let limit = request.parameter("Limit").and_then(|l| l.parse().ok()).unwrap_or(500);
         let mut state = self.lock();
+        let limit = state.max_page_len.min(limit);
         state.full_reads.push(table.to_owned());
-        let rows = state.rows.values().filter(|row| row.table == table && *row.key >= *from);
+        let rows =
+            state.rows.values().filter(|row| row.table == table && row.key.as_bytes() >= &from[..]);
         let mut rows: Vec<&Row> = rows.take(limit + 1).collect();
         let more = rows.len() > limit;
         rows.truncate(limit);
--- a/crates/basilhaven/src/gateway/mod.rs
+++ b/crates/basilhaven/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod history;
 pub mod journal;
 pub mod limit;
+pub mod listing;
 pub mod memory;
 pub mod moves;
 pub mod notify;
--- a/crates/basilhaven/src/gateway/store.rs
+++ b/crates/basilhaven/src/gateway/store.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{cluster, moves, protocol, route, upstream, usage};
+use super::{cluster, listing, moves, protocol, route, upstream, usage};
 use crate::finding;
 
 /// The number of times that the store has come back from a copy of its content.
@@ -175,6 +175,35 @@
     pub revision: Revision,
 }
 
+/// The key of a row, after which the next page of a feed begins. Keys are in ascending byte order.
+#[derive(
+    Debug,
+    Clone,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    derive_more::Deref,
+    derive_more::Display,
+    derive_more::From,
+)]
+#[from(&str, Rc<str>)]
+#[deref(forward)]
+pub struct Cursor(Rc<str>);
+
+/// Some rows of a feed.
+#[derive(Debug, Clone)]
+pub struct Page {
+    /// The rows.
+    pub items: Vec<Change>,
+    /// The newest revision of the store when the page was read.
+    pub revision: Revision,
+    /// The last row; `None` if the page is empty.
+    pub last: Option<Cursor>,
+    /// Whether more rows follow.
+    pub has_more: bool,
+}
+
 /// The row of a report on usage.
 #[derive(Debug, Clone)]
 pub struct UsageReport {
@@ -186,7 +215,7 @@
     pub revision: Revision,
 }
 
-/// All rows on usage, read at one moment.
+/// All rows on usage.
 #[derive(Debug, Clone)]
 pub struct UsageRows {
     /// The lease; `None` if there is no row or it cannot be read.
@@ -203,6 +232,22 @@
     pub clock: Duration,
 }
 
+impl UsageRows {
+    /// Adds the rows of the next page, which may have been read at a later revision.
+    ///
+    /// Each write of rows on usage writes the lease as well, and requires that it has not changed.
+    /// The lease is on an earlier page than the reports or on the same one, so that reports that
+    /// were written between two pages cause no write.
+    pub fn followed_by(mut self, next: UsageRows) -> UsageRows {
+        if next.lease_revision.number != 0 {
+            (self.lease, self.lease_revision) = (next.lease, next.lease_revision);
+        }
+        self.reports.extend(next.reports);
+        self.unreadable.extend(next.unreadable);
+        self
+    }
+}
+
 /// Rows on usage to write together.
 #[derive(Debug)]
 pub struct UsageWrite<'a> {
@@ -246,6 +291,9 @@
     /// No response arrived; a write may have been done, or may be done later.
     #[display("the store did not answer: {_0}")]
     Unanswered(std::io::Error),
+    /// A page of rows does not lead to the next one, after this key.
+    #[display("the page after key {_0:?} does not lead to the next one")]
+    Endless(Option<String>),
     /// The response is malformed or has an unexpected status.
     #[display("unexpected response of the store: {_0}")]
     Unexpected(String),
@@ -256,12 +304,13 @@
     /// Returns the protocol of the users' callers and upstreams.
     fn protocol(&self) -> protocol::Protocol;
 
-    /// Reads a feed as a whole; each response may take up to `response_timeout`.
-    fn read(
+    /// Reads a page of a feed; the response may take up to `response_timeout`.
+    fn read_page(
         &self,
         feed: Feed,
+        request: &listing::Request,
         response_timeout: Duration,
-    ) -> impl Future<Output = Result<Changes, Error>>;
+    ) -> impl Future<Output = Result<Page, Error>>;
 
     /// Waits up to `wait` for changes of a feed after a revision; the response may take up to
     /// `response_timeout` longer.
--- a/crates/basilhaven/src/gateway/updates.rs
+++ b/crates/basilhaven/src/gateway/updates.rs
@@ -11,7 +11,7 @@
 use futures_util::future::{self, Either};
 use indexmap::{IndexMap, IndexSet};
 
-use super::{cluster, config, journal, moves, registry, relay, store};
+use super::{cluster, config, journal, listing, moves, registry, relay, store};
 
 /// Default time within which orders are to be in force, unless the settings give another one.
 const DEFAULT_ORDERS_WITHIN: Duration = Duration::from_secs(2);
@@ -81,6 +81,10 @@
 /// How often a watcher checks whether the store has stopped answering.
 const STALENESS_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Unreadable rows of one page that are logged with their keys. Another writer may add any number of
+/// rows, and a host reads all of them when it starts.
+const MAX_UNREADABLE_LINES: usize = 16;
+
 /// An update of a feed that hosts relay to each other.
 #[derive(Debug)]
 pub struct Update {
@@ -118,6 +122,8 @@
     orders: journal::Journal,
     /// The journal of the feed `Upstreams`.
     upstreams: journal::Journal,
+    /// The read of all rows of each of [`relay::FEEDS`], as far as it has got.
+    listings: RefCell<IndexMap<store::Feed, listing::Listing>>,
     /// Hosts of a build that knows no eras, and when each was last found to be one.
     hosts_without_eras: RefCell<IndexMap<SocketAddr, Instant>>,
     /// When each origin last failed.
@@ -150,6 +156,7 @@
             members,
             orders: journal::Journal::default(),
             upstreams: journal::Journal::default(),
+            listings: RefCell::default(),
             hosts_without_eras: RefCell::default(),
             failures: RefCell::default(),
             orders_within: Cell::new(DEFAULT_ORDERS_WITHIN),
@@ -263,6 +270,9 @@
             return;
         }
         let items: Vec<store::Change> = items.into_iter().map(store::Change::checked).collect();
+        if is_snapshot {
+            self.listings.borrow_mut().swap_remove(&feed);
+        }
         match is_snapshot {
             true if journal.is_restored_by(revision) => {
                 tracing::warn!(
@@ -510,6 +520,50 @@
     }
 }
 
+/// Reads the next page of a feed; returns all rows after the last page.
+async fn read_page<S>(
+    store: &S,
+    feed: store::Feed,
+    replica: &Replica,
+    response_timeout: Duration,
+) -> Result<Option<listing::Complete>, store::Error>
+where
+    S: store::Store,
+{
+    let request = replica.listings.borrow_mut().entry(feed).or_default().request();
+    let result = store.read_page(feed, &request, response_timeout).await;
+    let mut listings = replica.listings.borrow_mut();
+    let listing = listings.entry(feed).or_default();
+    match result {
+        Ok(mut page) => {
+            drop_unreadable(feed, &mut page.items);
+            listing.add(page, Instant::now())
+        }
+        Err(error) => {
+            listing.record_failure();
+            Err(error)
+        }
+    }
+}
+
+/// Removes unreadable rows from a page, and logs them. What is not in a snapshot is removed, so that
+/// they need not be retained until the last page.
+fn drop_unreadable(feed: store::Feed, items: &mut Vec<store::Change>) {
+    let mut count = 0;
+    items.retain(|item| {
+        let store::Change::Unreadable { key, findings } = item else { return true };
+        count += 1;
+        if count <= MAX_UNREADABLE_LINES {
+            tracing::warn!(event = "row_unreadable", source = %feed, key = &**key, %findings);
+        }
+        false
+    });
+    metrics::counter!("basilhaven_rows_unreadable_total").increment(count as u64);
+    if count > MAX_UNREADABLE_LINES {
+        tracing::warn!(event = "rows_unreadable", source = %feed, count);
+    }
+}
+
 /// Keeps the replica up to date for as long as the process runs.
 pub async fn run<S>(store: Rc<S>, replica: Rc<Replica>)
 where
@@ -554,7 +608,8 @@
     result
 }
 
-/// Waits until the store has confirmed a feed too long ago, and returns that feed.
+/// Waits until the store has confirmed a feed too long ago, and returns that feed. While all rows of
+/// a feed are read, each page counts as a confirmation.
 async fn wait_until_stale(replica: &Replica) -> store::Feed {
     let started = Instant::now();
     loop {
@@ -562,7 +617,10 @@
         let now = Instant::now();
         let is_stale = |feed: &store::Feed| {
             let staleness = replica.journal(*feed).staleness(now);
-            staleness.min(now.saturating_duration_since(started)) > replica.max_staleness(*feed)
+            let idle = replica.listings.borrow().get(feed).map(|listing| listing.idle_time(now));
+            let since_page = idle.unwrap_or(Duration::MAX);
+            let since_start = now.saturating_duration_since(started);
+            staleness.min(since_page).min(since_start) > replica.max_staleness(*feed)
         };
         if let Some(feed) = relay::FEEDS.into_iter().find(is_stale) {
             return feed;
@@ -585,21 +643,31 @@
         let requested_at = Instant::now();
         let known = journal.revision();
         let result = match is_snapshot {
-            true => store.read(feed, response_timeout).await,
-            false => store.long_poll(feed, known, timing.poll, response_timeout).await,
+            true => match read_page(store, feed, replica, response_timeout).await {
+                Ok(None) => {
+                    (failing_since, backoff) = (None, MIN_BACKOFF);
+                    continue;
+                }
+                Ok(Some(all)) => Ok((all.changes, Some(all.began_at))),
+                Err(error) => Err(error),
+            },
+            false => {
+                let changes = store.long_poll(feed, known, timing.poll, response_timeout).await;
+                changes.map(|changes| (changes, None))
+            }
         };
         let now = Instant::now();
         match result {
             // Revisions are given out again, so these may not be all changes after the known one.
-            Ok(changes) if !is_snapshot && journal.is_restored_by(changes.revision) => {
+            Ok((changes, _)) if !is_snapshot && journal.is_restored_by(changes.revision) => {
                 tracing::info!(event = "history_gone", source = %feed, %known);
                 is_snapshot = true;
                 continue;
             }
-            Ok(changes) if changes.revision >= known => {
+            Ok((changes, began_at)) if changes.revision >= known => {
                 replica.apply_update(feed, is_snapshot, changes.revision, changes.items, now);
-                // A snapshot may lack rows written after the request was sent.
-                journal.confirm(if is_snapshot { requested_at } else { now });
+                // A snapshot may lack rows written after its first request was sent.
+                journal.confirm(began_at.unwrap_or(now));
                 replica.members.set_store_reachable(true, now);
                 if feed == store::Feed::Upstreams {
                     replica.registry.set_store_reachable(true, now);
@@ -618,7 +686,7 @@
                 }
                 continue;
             }
-            Ok(changes) => {
+            Ok((changes, _)) => {
                 let read = changes.revision;
                 tracing::warn!(event = "store_read_stale", source = %feed, %known, %read);
             }
@@ -655,8 +723,12 @@
 {
     let mut backoff = MIN_BACKOFF;
     loop {
-        match store.read(feed, MAX_RESPONSE_TIMEOUT).await {
-            Ok(all) => {
+        match read_page(store, feed, replica, MAX_RESPONSE_TIMEOUT).await {
+            Ok(None) => {
+                backoff = MIN_BACKOFF;
+                continue;
+            }
+            Ok(Some(listing::Complete { changes: all, .. })) => {
                 let sighting = config::Sighting { era: all.revision.era, is_written: false };
                 return replica.apply_snapshot(feed, all.items, sighting, Instant::now());
             }
--- a/crates/basilhaven/src/gateway/usage/lease.rs
+++ b/crates/basilhaven/src/gateway/usage/lease.rs
@@ -330,6 +330,7 @@
             store::Error::Restored
             | store::Error::HistoryGone
             | store::Error::Unanswered(_)
+            | store::Error::Endless(_)
             | store::Error::Unexpected(_) => self.needs_read = true,
         }
     }
--- a/crates/basilhaven/tests/gateway/main.rs
+++ b/crates/basilhaven/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod datagram;
 mod limits;
+mod listing;
 mod memory;
 mod moves;
 mod notify;
