--- a/crates/basilhaven/src/gateway/forward.rs
+++ b/crates/basilhaven/src/gateway/forward.rs
@@ -159,10 +159,13 @@
     }
 }
 
-/// Adds the header field that names the upstreams that a call was sent to.
+/// Adds the header field that names the upstreams that a call was sent to, unless the other host
+/// would read other names in it.
 fn write_sends(sends: &history::Sends, headers: &mut HeaderMap) {
+    let is_one_word = |id: &Rc<str>| !id.is_empty() && !id.contains(char::is_whitespace);
+    let is_known = !sends.has_unknown() && sends.upstreams().iter().all(is_one_word);
     match HeaderValue::from_str(&sends.upstreams().join(" ")) {
-        Ok(tried) if !sends.has_unknown() => headers.insert(TRIED, tried),
+        Ok(tried) if is_known => headers.insert(TRIED, tried),
         _ => headers.remove(TRIED),
     };
 }
--- a/crates/basilhaven/src/gateway/store.rs
+++ b/crates/basilhaven/src/gateway/store.rs
@@ -153,11 +153,11 @@
 }
 
 impl Change {
-    /// Returns this change, with an entry of an upstream that has impossible values as unreadable.
-    /// Hosts of earlier builds relay such entries.
+    /// Returns this change, with an entry of an upstream that has impossible values, or an id that
+    /// calls cannot name, as unreadable. Hosts of earlier builds relay such entries.
     pub fn checked(self) -> Change {
         match self {
-            Change::Upstream { id, entry: Some(entry) } => match entry.check() {
+            Change::Upstream { id, entry: Some(entry) } => match check_id(&id, entry.check()) {
                 Ok(entry) => Change::Upstream { id, entry: Some(entry) },
                 Err(findings) => Change::Unreadable { key: id, findings },
             },
@@ -166,6 +166,20 @@
     }
 }
 
+/// Adds a finding if an id would not arrive as it is in a header field. Calls name the upstream that
+/// they are for, since its address may have gone to another one.
+fn check_id(
+    id: &str,
+    entry: Result<upstream::Entry, finding::Findings>,
+) -> Result<upstream::Entry, finding::Findings> {
+    if !id.is_empty() && id.trim() == id && http::HeaderValue::from_str(id).is_ok() {
+        return entry;
+    }
+    let mut findings = entry.err().unwrap_or_default();
+    findings.add("id", "cannot be sent in a header field");
+    Err(findings)
+}
+
 /// Rows of a feed, and the revision up to which they are complete.
 #[derive(Debug, Clone)]
 pub struct Changes {
--- a/crates/basilhaven/tests/gateway/main.rs
+++ b/crates/basilhaven/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod cluster;
 mod connections;
 mod datagram;
+mod forward;
 mod limits;
 mod listing;
 mod memory;
--- a/crates/basilhaven/tests/gateway/updates.rs
+++ b/crates/basilhaven/tests/gateway/updates.rs
@@ -239,3 +239,16 @@
     };
     assert_eq!(entry.cold_remaining, Duration::from_secs(1));
 }
+
+// Guards against calls that do not name the upstream that they are for, since its id cannot stand
+// in a header field: the address may have gone to an upstream of another service.
+#[test]
+fn an_id_that_no_header_field_can_carry_names_no_upstream() {
+    let (replica, now) = (replica(), Instant::now());
+    let ids = ["u1", "u 2", "", " ", "u3 ", "u\n4", "u\u{f8}5"];
+    let items = ids.iter().map(|id| listed(id)).collect();
+    replica.apply_update(Feed::Upstreams, true, Revision::from(1), items, now);
+    let listed = replica.registry.upstreams_of("catalogo");
+    let listed: Vec<&str> = listed.iter().map(|upstream| &*upstream.id).collect();
+    assert_eq!(listed, ["u1", "u 2", "u\u{f8}5"]);
+}
