Bound numbers from outside where they enter

Cause: `limit::Rate` took any finite number. The wait for a call at such a rate fits a `Duration`, but `now + wait` overflows an `Instant`.

Evidence, on x86-64: limits::a_rate_next_to_none_ends_no_process fails with the daemon of ("overflow when adding duration to instant") and passes now; settings::a_time_that_is_too_long_is_reported_by_its_flag fails there too.

--- a/crates/basilhaven-bench/tests/gateway/limits.rs
+++ b/crates/basilhaven-bench/tests/gateway/limits.rs
@@ -10,7 +10,9 @@
 use basilhaven_bench::standin::users::store::Store;
 use basilhaven_bench::standin::users::upstream::{Behaviour, Upstream};
 
-use crate::fixture::{config, wait_until, Host, Network, SERVICE};
+use basilhaven_bench::gateway::OTHER_SERVICE;
+
+use crate::fixture::{config, config_with, wait_until, Fixture, Host, Network, PROMPT, SERVICE};
 
 /// How long a call runs.
 const SERVICE_TIME: Duration = Duration::from_millis(50);
@@ -183,3 +185,38 @@
         }
     });
 }
+
+// Guards against a rate next to none, at which each process ended with the first call, again and
+// again, and all other calls with it.
+#[test]
+fn a_rate_next_to_none_ends_no_process() {
+    block_on(async {
+        let fixture = Fixture::start(&[PROMPT, PROMPT]).await;
+        let other = Upstream::start("i-other", PROMPT);
+        fixture.store.put("servers", &other.id, &other.entry(OTHER_SERVICE, "v1", "ready"));
+        let to_other = |config: &mut serde_json::Value| {
+            config["VirtualHosts"][0]["Paths"][1]["Service"] = OTHER_SERVICE.into();
+        };
+        fixture.store.put("op", "config", &config_with(2, SERVICE, to_other));
+        wait_until("the other service is called", || {
+            let id = format!("o-{}", other.executed_ids().len());
+            fixture.host.call("POST", "/unsafe/1", &id).is_ok() && !other.executed_ids().is_empty()
+        })
+        .await;
+        let refused_after = || {
+            let response = fixture.host.call("GET", "/safe/1", "r").expect("the host responds");
+            let after = response.head.lines().find_map(|line| line.strip_prefix("retry-after: "));
+            let seconds = after.and_then(|seconds| seconds.parse::<f64>().ok());
+            (response.status == 503).then(|| seconds.expect("a time in seconds"))
+        };
+        for rate in [4e-20, f64::MIN_POSITIVE, 1e-16, 1e-9, 0.0] {
+            fixture.upstreams.iter().for_each(|upstream| upstream.set_limit(Some(rate)));
+            wait_until("calls are refused", || refused_after().is_some()).await;
+            let after = refused_after().expect("calls are still refused");
+            assert!(after <= 24.0 * 3600.0, "{after} s at a rate of {rate}");
+        }
+        let response = fixture.host.call("POST", "/unsafe/1", "last").expect("a response");
+        assert_eq!(response.status, 200, "a call of the other service");
+        assert_eq!(fixture.host.process.event_count("started"), 1);
+    });
+}
--- a/crates/basilhaven/src/gateway/forward.rs
+++ b/crates/basilhaven/src/gateway/forward.rs
@@ -13,7 +13,7 @@
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use indexmap::IndexMap;
 
-use super::{attempt, cluster, history, notify, protocol, relay, shaper};
+use super::{attempt, cluster, history, notify, pause, protocol, relay, shaper};
 use crate::http1::{self, body, head};
 use crate::profile;
 
@@ -409,8 +409,8 @@
             }
             Ending::NotRun { attempts, sends } => {
                 let retry_after = response.parts.headers.get(header::RETRY_AFTER);
-                let seconds = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
-                let retry_after = seconds.and_then(|s| Duration::try_from_secs_f64(s).ok());
+                let time = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
+                let retry_after = time.map(|time: pause::Time| time.duration());
                 Outcome::NotRun { retry_after, attempts, sends }
             }
             Ending::Unknown if status.is_server_error() => Outcome::Unknown(status),
--- a/crates/basilhaven/src/gateway/limit.rs
+++ b/crates/basilhaven/src/gateway/limit.rs
@@ -6,7 +6,7 @@
 
 use crate::budget;
 
-/// A number of calls per second; finite and not negative.
+/// A number of calls per second, of at most [`Rate::MAX`]. One of less than a call a day is 0.
 ///
 /// # Examples
 ///
@@ -14,6 +14,7 @@
 /// use basilhaven::gateway::limit;
 ///
 /// assert_eq!("3.5".parse::<limit::Rate>().unwrap().per_second(), 3.5);
+/// assert_eq!("0.000000000000000001".parse::<limit::Rate>().unwrap().per_second(), 0.0);
 /// assert_eq!("-1".parse::<limit::Rate>(), Err(limit::Error::OutOfRange));
 /// assert_eq!("few".parse::<limit::Rate>(), Err(limit::Error::NotANumber));
 /// ```
@@ -31,7 +32,13 @@
     OutOfRange,
 }
 
+/// The longest time that is waited for a call under a rate.
+const MAX_WAIT: Duration = Duration::from_secs(24 * 3600);
+
 impl Rate {
+    /// The highest rate, in calls per second; higher ones are no limit to any host.
+    pub const MAX: f64 = 1e9;
+
     /// Returns the number of calls per second.
     pub fn per_second(self) -> f64 {
         self.0
@@ -43,7 +50,8 @@
 
     fn try_from(per_second: f64) -> Result<Rate, Error> {
         match per_second.is_finite() && per_second >= 0.0 {
-            true => Ok(Rate(per_second)),
+            true if per_second * MAX_WAIT.as_secs_f64() < 1.0 => Ok(Rate(0.0)),
+            true => Ok(Rate(per_second.min(Rate::MAX))),
             false => Err(Error::OutOfRange),
         }
     }
@@ -191,10 +199,22 @@
     }
 
     /// Returns the time until a call can be sent before which `ahead` others are sent; `None` if
-    /// this host may send none.
+    /// this host may not send it within a day.
     pub fn wait(&self, ahead: usize) -> Option<Duration> {
-        let missing = ((ahead + 1) as f64 - self.available).max(0.0);
+        let missing = (ahead as f64 + 1.0 - self.available).max(0.0);
         let seconds = if missing == 0.0 { 0.0 } else { missing / self.per_second };
-        Duration::try_from_secs_f64(seconds).ok()
+        Duration::try_from_secs_f64(seconds).ok().filter(|wait| *wait <= MAX_WAIT)
+    }
+
+    /// Checks that a call before which `ahead` others are sent can be sent within `left`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [time until it can be sent](Supply::wait) if it can't.
+    pub fn check(&self, ahead: usize, left: Duration) -> Result<(), Option<Duration>> {
+        match self.wait(ahead) {
+            Some(wait) if wait <= left => Ok(()),
+            wait => Err(wait),
+        }
     }
 }
--- a/crates/basilhaven/src/gateway/protocol.rs
+++ b/crates/basilhaven/src/gateway/protocol.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderName};
 
-use super::{directory, limit, pause};
+use super::{directory, limit, pause, upstream};
 
 /// Names of header fields, set by the embedding program.
 #[derive(Debug, Clone)]
@@ -47,6 +47,35 @@
     pub slowdown: f32,
 }
 
+impl Load {
+    /// The most requests, and the highest slowdown, that a report is taken to mean.
+    pub const MAX_REQUESTS: u32 = upstream::MAX_SLOTS;
+    /// See [`MAX_REQUESTS`](Load::MAX_REQUESTS).
+    pub const MAX_SLOWDOWN: f32 = 1000.0;
+
+    /// Returns this load with its numbers within bounds, so that times and sums derived from them
+    /// are. The number of slots is 0, for unknown, if no upstream can have that many.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use basilhaven::gateway::protocol;
+    ///
+    /// let load = protocol::Load { running: 3, waiting: 0, slots: 4, slowdown: 1.0 };
+    /// assert_eq!(load.bounded(), load);
+    /// let load = protocol::Load { running: u32::MAX, slots: u32::MAX, ..load }.bounded();
+    /// assert_eq!((load.running, load.slots), (protocol::Load::MAX_REQUESTS, 0));
+    /// ```
+    pub fn bounded(self) -> Load {
+        Load {
+            running: self.running.min(Load::MAX_REQUESTS),
+            waiting: self.waiting.min(Load::MAX_REQUESTS),
+            slots: if self.slots > upstream::MAX_SLOTS { 0 } else { self.slots },
+            slowdown: self.slowdown.min(Load::MAX_SLOWDOWN),
+        }
+    }
+}
+
 /// The protocol between callers, hosts and upstreams.
 #[derive(Debug, Clone)]
 pub struct Protocol {
--- a/crates/basilhaven/src/gateway/queue.rs
+++ b/crates/basilhaven/src/gateway/queue.rs
@@ -203,11 +203,10 @@
         now: Instant,
     ) -> Result<(), balancer::Refusal> {
         let Some(supply) = self.queue.supply.get() else { return Ok(()) };
-        let retry_after = supply.wait(self.ahead(now));
-        match retry_after {
-            Some(wait) if now + wait <= queue_until => Ok(()),
-            _ => Err(balancer::Refusal::RateLimited { retry_after }),
-        }
+        let left = queue_until.saturating_duration_since(now);
+        supply
+            .check(self.ahead(now), left)
+            .map_err(|retry_after| balancer::Refusal::RateLimited { retry_after })
     }
 }
 
--- a/crates/basilhaven/src/gateway/settings.rs
+++ b/crates/basilhaven/src/gateway/settings.rs
@@ -197,6 +197,25 @@
     is_valid.then_some(Some(read))
 }
 
+/// The longest time that a setting may give.
+const MAX_TIME: Duration = Duration::from_secs(30 * 24 * 3600);
+
+/// Reads a time in seconds as [`read_number`] reads a number. Returns `None` after adding a finding
+/// if it is invalid or longer than [`MAX_TIME`].
+fn read_time(
+    findings: &mut finding::Findings,
+    flag: &str,
+    text: &str,
+    default_s: f64,
+) -> Option<Duration> {
+    let seconds = read_number(findings, flag, text)?.unwrap_or(default_s);
+    let time = Duration::try_from_secs_f64(seconds).ok().filter(|time| *time <= MAX_TIME);
+    if time.is_none() {
+        findings.add(flag, format!("must be at most {} s", MAX_TIME.as_secs()));
+    }
+    time
+}
+
 /// Reads the settings of usage reports. Returns `Some(None)` without an endpoint, and `None` after
 /// adding findings if a setting is invalid.
 fn read_usage(findings: &mut finding::Findings, raw: &Raw) -> Option<Option<usage::Settings>> {
@@ -205,35 +224,31 @@
         return Some(None);
     }
     let endpoint = findings.ok_or_add("--usage-endpoint", endpoint.parse::<SocketAddr>());
-    let mut positive = |flag: &str, text: &str, default: f64| {
-        let read = read_number(findings, flag, text)?.unwrap_or(default);
-        let is_valid = read > 0.0 && Duration::try_from_secs_f64(read).is_ok();
-        if !is_valid {
+    let mut positive_time = |flag: &str, text: &str, default_s: f64| {
+        let time = read_time(findings, flag, text, default_s)?;
+        if time.is_zero() {
             findings.add(flag, "must be more than 0");
         }
-        is_valid.then_some(read)
+        (!time.is_zero()).then_some(time)
     };
-    let window = positive("--usage-window-s", &raw.usage_window_s, DEFAULT_USAGE_WINDOW_S);
-    let late = positive("--usage-late-s", &raw.usage_late_s, DEFAULT_USAGE_LATE_S);
-    let lease = positive("--lease-s", &raw.lease_s, DEFAULT_LEASE_S);
-    let rate = positive("--usage-rate", &raw.usage_rate, DEFAULT_USAGE_RATE);
-    let slack = read_number(findings, "--thaw-slack-s", &raw.thaw_slack_s)
-        .map(|read| read.unwrap_or(DEFAULT_THAW_SLACK_S));
+    let window = positive_time("--usage-window-s", &raw.usage_window_s, DEFAULT_USAGE_WINDOW_S);
+    let late = positive_time("--usage-late-s", &raw.usage_late_s, DEFAULT_USAGE_LATE_S);
+    let lease = positive_time("--lease-s", &raw.lease_s, DEFAULT_LEASE_S);
+    let rate = read_number(findings, "--usage-rate", &raw.usage_rate)
+        .map(|read| read.unwrap_or(DEFAULT_USAGE_RATE));
+    if rate == Some(0.0) {
+        findings.add("--usage-rate", "must be more than 0");
+    }
+    let slack = read_time(findings, "--thaw-slack-s", &raw.thaw_slack_s, DEFAULT_THAW_SLACK_S);
+    let rate = rate.filter(|rate| *rate > 0.0);
     let (endpoint, window, late, lease, rate) = (endpoint?, window?, late?, lease?, rate?);
-    let slack = slack?;
+    let thaw_slack = slack?;
     // The holder renews the lease after a third of its length.
-    if slack >= lease / 2.0 {
+    if thaw_slack >= lease / 2 {
         findings.add("--thaw-slack-s", "must be less than half of --lease-s");
         return None;
     }
-    Some(Some(usage::Settings {
-        endpoint,
-        window: Duration::from_secs_f64(window),
-        late: Duration::from_secs_f64(late),
-        lease: Duration::from_secs_f64(lease),
-        thaw_slack: Duration::from_secs_f64(slack),
-        rate,
-    }))
+    Some(Some(usage::Settings { endpoint, window, late, lease, thaw_slack, rate }))
 }
 
 impl TryFrom<Raw> for Settings {
@@ -260,17 +275,20 @@
             "" => Some(false),
             text => findings.ok_or_add("--first-start", text.parse::<bool>()),
         };
+        let mut time = |flag: &str, text: &str, default_s: f64| {
+            read_time(&mut findings, flag, text, default_s)
+        };
+        let entry_ttl = time("--entry-ttl-s", &raw.entry_ttl_s, DEFAULT_ENTRY_TTL_S);
+        let grace = time("--grace-s", &raw.grace_s, DEFAULT_GRACE_S);
+        let orders_within =
+            time("--orders-within-s", &raw.orders_within_s, DEFAULT_ORDERS_WITHIN_S);
+        let heartbeat = time("--heartbeat-s", &raw.heartbeat_s, DEFAULT_HEARTBEAT_S);
         let mut number = |flag: &str, text: &str, default: f64| {
             read_number(&mut findings, flag, text).map(|read| read.unwrap_or(default))
         };
-        let entry_ttl = number("--entry-ttl-s", &raw.entry_ttl_s, DEFAULT_ENTRY_TTL_S);
-        let grace = number("--grace-s", &raw.grace_s, DEFAULT_GRACE_S);
         let retry_ratio = number("--retry-ratio", &raw.retry_ratio, DEFAULT_RETRY_RATIO);
         let retry_slack = number("--retry-slack", &raw.retry_slack, DEFAULT_RETRY_SLACK);
-        let orders_within =
-            number("--orders-within-s", &raw.orders_within_s, DEFAULT_ORDERS_WITHIN_S);
         let probe_rate = number("--probe-rate", &raw.probe_rate, DEFAULT_PROBE_RATE);
-        let heartbeat = number("--heartbeat-s", &raw.heartbeat_s, DEFAULT_HEARTBEAT_S);
         let cores = number("--cores", &raw.cores, DEFAULT_CORES);
         let exposure_share = read_number(&mut findings, "--exposure-share", &raw.exposure_share);
         let memory_mb = read_number(&mut findings, "--memory-mb", &raw.memory_mb);
@@ -293,14 +311,14 @@
                 store: store?,
                 seeds,
                 is_first_start: first_start?,
-                entry_ttl: Duration::try_from_secs_f64(entry_ttl?).ok()?,
-                grace: Duration::try_from_secs_f64(grace?).ok()?,
+                entry_ttl: entry_ttl?,
+                grace: grace?,
                 retry_ratio: retry_ratio?,
                 retry_slack: retry_slack?,
                 exposure_share: exposure_share?,
-                orders_within: Duration::try_from_secs_f64(orders_within?).ok()?,
+                orders_within: orders_within?,
                 probe_rate: probe_rate?,
-                heartbeat: Duration::try_from_secs_f64(heartbeat?).ok()?,
+                heartbeat: heartbeat?,
                 capacity: (cores? * CAPACITY_PER_CORE).clamp(1.0, u8::MAX.into()) as u8,
                 limits: memory::Limits {
                     memory: memory_mb?.map(|mb| (mb * BYTES_PER_MB) as u64),
--- a/crates/basilhaven/src/gateway/upstream.rs
+++ b/crates/basilhaven/src/gateway/upstream.rs
@@ -67,7 +67,7 @@
 }
 
 /// The most slots of an upstream; sums over thousands of upstreams stay far from the types' limits.
-const MAX_SLOTS: u32 = 100_000;
+pub const MAX_SLOTS: u32 = 100_000;
 
 /// The largest number that all writers of JSON state exactly. An upstream with a larger start or
 /// sequence number could not write a newer entry.
--- a/crates/basilhaven/tests/gateway/limits.rs
+++ b/crates/basilhaven/tests/gateway/limits.rs
@@ -3,7 +3,8 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
-use basilhaven::gateway::{retries, route, warmup};
+use basilhaven::gateway::round_trips::RoundTrips;
+use basilhaven::gateway::{limit, protocol, retries, route, selection, warmup};
 use quickcheck::QuickCheck;
 
 #[test]
@@ -124,3 +125,53 @@
         .for_each(|_| few.set(few.get() + 1));
     assert!((18..=22).contains(&few.get()), "{} of 200 for a tenth", few.get());
 }
+
+/// Texts and numbers of the whole range that an upstream may write as a rate.
+fn rate(text_number: f64, exponent: i8) -> Vec<String> {
+    let scaled = 8.0 * 10f64.powi(i32::from(exponent) * 3);
+    [text_number, scaled, -scaled].iter().map(f64::to_string).collect()
+}
+
+// Guards against a rate next to none, whose wait fitted a duration and overflowed an instant.
+#[test]
+fn no_rate_that_can_be_written_leads_to_a_wait_that_cannot_be() {
+    fn holds(number: f64, exponent: i8, ahead: u32, hosts: u16, left_ms: u64) -> bool {
+        let left = Duration::from_millis(left_ms);
+        rate(number, exponent).iter().all(|text| {
+            let now = Instant::now();
+            let limit = limit::Limit::default();
+            limit.record(text.parse().ok(), now);
+            limit.set_share(1.0 / (f64::from(hosts) + 1.0), now);
+            let Some(supply) = limit::Supply::of([&limit, &limit], now) else { return true };
+            match supply.check(ahead as usize, left) {
+                Ok(()) => supply.wait(ahead as usize).is_some_and(|wait| wait <= left),
+                Err(Some(wait)) => now.checked_add(wait).is_some() && wait > left,
+                Err(None) => true,
+            }
+        })
+    }
+    QuickCheck::new()
+        .rng(quickcheck::Gen::from_size_and_seed(100, 8))
+        .tests(20_000)
+        .quickcheck(holds as fn(f64, i8, u32, u16, u64) -> bool);
+}
+
+// Guards against a load report from which a time or a sum is derived that cannot be.
+#[test]
+fn no_load_that_can_be_written_leads_to_a_time_that_cannot_be() {
+    fn holds(running: u32, waiting: u32, slots: u32, slowdown: f32, target_ms: u32) -> bool {
+        let now = Instant::now();
+        let upstream = crate::upstream("u", "v1", "a", now);
+        let load = protocol::Load { running, waiting, slots, slowdown: slowdown.abs() };
+        upstream.record_report(load.bounded(), now);
+        let baseline = Duration::from_millis(target_ms.into());
+        let round_trips = RoundTrips::default();
+        let context = selection::Context { data_centre: "a", baseline, round_trips: &round_trips };
+        let cost = selection::cost(&upstream, &context, now);
+        now.checked_add(baseline.mul_f64(cost)).is_some()
+    }
+    QuickCheck::new()
+        .rng(quickcheck::Gen::from_size_and_seed(100, 9))
+        .tests(20_000)
+        .quickcheck(holds as fn(u32, u32, u32, f32, u32) -> bool);
+}
--- a/crates/basilhaven/tests/gateway/settings.rs
+++ b/crates/basilhaven/tests/gateway/settings.rs
@@ -107,6 +107,18 @@
     assert_eq!(parse_with(&[("--usage-rate", "0")]).expect("valid settings").usage, None);
 }
 
+// Guards against a time that a host cannot add to its clock: it ended when it was told to stop, or
+// did not start and named no setting.
+#[test]
+fn a_time_that_is_too_long_is_reported_by_its_flag() {
+    for flag in ["--entry-ttl-s", "--grace-s", "--orders-within-s", "--heartbeat-s"] {
+        for value in ["1e300", "1e19", "1e10"] {
+            let findings = parse_with(&[(flag, value)]).expect_err(value);
+            assert_eq!(findings.iter().map(|f| &*f.place).collect::<Vec<_>>(), [flag], "{value}");
+        }
+    }
+}
+
 #[test]
 fn a_required_setting_that_is_empty_is_reported_by_its_flag() {
     for (flag, _) in &REQUIRED[2..] {
