End one connection, not the process, when its task panics

Cause: all tasks run on one thread, and a panic in one unwinds through the runtime.

Change: `task::contain` around the tasks of callers' connections, of pages, of followers and of probes. It catches the panic, logs and counts it. What a task holds is given back on drop: permits, shares, tickets, and now the count of active calls. Tasks that keep the host up to date are not contained: a host without one of them would go on with old orders.

Evidence: task::a_panic_ends_its_task_only_and_gives_back_what_it_counted.

--- a/crates/basilhaven/src/gateway/directory.rs
+++ b/crates/basilhaven/src/gateway/directory.rs
@@ -9,7 +9,7 @@
 use http::header::{self, HeaderMap, HeaderValue};
 use monoio::net::{TcpListener, TcpStream};
 
-use super::{cluster, memory};
+use super::{cluster, memory, task};
 use crate::http1::{self, body, head};
 
 /// Maximum length in bytes of a request head.
@@ -84,7 +84,8 @@
                         None => continue,
                     },
                 };
-                monoio::spawn(handle_connection(stream, Rc::clone(&respond), share));
+                let serving = handle_connection(stream, Rc::clone(&respond), share);
+                monoio::spawn(task::contain("page", serving));
             }
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error);
--- a/crates/basilhaven/src/gateway/frontend.rs
+++ b/crates/basilhaven/src/gateway/frontend.rs
@@ -9,7 +9,7 @@
 
 use super::{
     attempt, balancer, cluster, config, forward, memory, notify, protocol, relay, retries, route,
-    shaper, usage,
+    shaper, task, usage,
 };
 use crate::http1::{self, head};
 use crate::profile;
@@ -140,7 +140,8 @@
     frontend.open_connections.set(frontend.open_connections.get() + 1);
     let frontend = Rc::clone(frontend);
     monoio::spawn(async move {
-        handle_connection(&frontend, stream, source, &share).await;
+        let serving = handle_connection(&frontend, stream, source, &share);
+        task::contain("connection", serving).await;
         // The connection is closed by now, so that its descriptor is free for others.
         drop(share);
         frontend.open_connections.set(frontend.open_connections.get() - 1);
@@ -199,9 +200,10 @@
             Received::Invalid(error) => return reject(conn, &error).await,
         };
         share.set_phase(memory::Phase::Serving);
-        frontend.active_calls.set(frontend.active_calls.get() + 1);
-        let persistence = serve_request(frontend, conn, request, &limits, source, share).await;
-        frontend.active_calls.set(frontend.active_calls.get() - 1);
+        let persistence = {
+            let _count = task::Count::new(&frontend.active_calls);
+            serve_request(frontend, conn, request, &limits, source, share).await
+        };
         match persistence? {
             Persistence::Reuse => {}
             persistence => return Ok(persistence),
--- a/crates/basilhaven/src/gateway/mod.rs
+++ b/crates/basilhaven/src/gateway/mod.rs
@@ -40,6 +40,7 @@
 pub mod shaper;
 pub mod shares;
 pub mod store;
+pub mod task;
 pub mod updates;
 pub mod upstream;
 pub mod usage;
--- a/crates/basilhaven/src/gateway/probe.rs
+++ b/crates/basilhaven/src/gateway/probe.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderValue};
 
-use super::{cluster, protocol, round_trips, upstream};
+use super::{cluster, protocol, round_trips, task, upstream};
 use crate::http1::{self, body, client};
 
 /// Timeout of a probe. Upstreams respond without delay, so it only has to cover the round trip.
@@ -78,7 +78,7 @@
         upstream.is_probe_pending.set(true);
         let (prober, upstream, path) = (Rc::clone(self), Rc::clone(upstream), Rc::clone(path));
         monoio::spawn(async move {
-            prober.probe(&upstream, &path).await;
+            task::contain("probe", prober.probe(&upstream, &path)).await;
             upstream.is_probe_pending.set(false);
             upstream.probe_ended.notify();
         });
--- a/crates/basilhaven/src/gateway/relay.rs
+++ b/crates/basilhaven/src/gateway/relay.rs
@@ -17,7 +17,7 @@
 use monoio::net::{TcpListener, TcpStream};
 use serde::{Deserialize, Serialize};
 
-use super::{access, config, route, store, updates};
+use super::{access, config, route, store, task, updates};
 
 /// Maximum time between two staleness messages to a follower.
 const STALENESS_INTERVAL: Duration = Duration::from_millis(400);
@@ -168,11 +168,11 @@
         match listener.accept().await {
             Ok((stream, from)) => {
                 let (replica, serve_calls) = (Rc::clone(&replica), Rc::clone(&serve_calls));
-                monoio::spawn(async move {
+                monoio::spawn(task::contain("follower", async move {
                     if let Err(error) = serve_host(&replica, stream, &*serve_calls).await {
                         tracing::debug!(event = "follower_lost", %from, %error);
                     }
-                });
+                }));
             }
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error);
--- a/crates/basilhaven/tests/gateway/main.rs
+++ b/crates/basilhaven/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod settings;
 mod shaper;
 mod starts;
+mod task;
 mod updates;
 mod usage_counts;
 mod usage_holder;
