Count long responses from their first byte on

Other operators reported upstreams that send bytes without end, and hosts that ran out of memory. Here one such response is harmless, but many at once were not: 240 calls whose callers read slowly or not at all, at eight upstreams with endless bodies, took 87 MB on a host of 64 MB.

Cause: the first 256 KiB of a body were buffered before they were counted in the budget of memory, and the read buffers and receive buffers of connections to upstreams were not counted.

Change: the share of a response exists from the attempt on. Buffering stops when there is no room, and the response is passed on as it comes. A connection with a long response counts its buffers, and its receive buffer is limited to a thousandth of the budget.

--- a/crates/basilhaven-bench/src/lib.rs
+++ b/crates/basilhaven-bench/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod demo;
 pub mod experiment;
 pub mod gateway;
+pub mod monitor;
 pub mod process;
 pub mod report;
 pub mod scenario;
--- a/crates/basilhaven-bench/src/standin/users/upstream.rs
+++ b/crates/basilhaven-bench/src/standin/users/upstream.rs
@@ -19,6 +19,9 @@
 /// Marks the response to a call that was not executed.
 const REJECTION: (&str, &str) = ("x-basilhaven-not-executed", "1");
 
+/// How long after a response an upstream begins to send bytes on the idle connection.
+const IDLE_TIME: Duration = Duration::from_millis(50);
+
 /// The number of slots that an upstream registers in the store.
 pub const SLOTS: u32 = 4;
 
@@ -81,6 +84,16 @@
     Body,
     /// A large chunk of which one byte is sent every 50 ms.
     SlowBody,
+    /// Bytes that are no response, from the first one on.
+    Junk,
+    /// Bytes after a complete response, on a connection that is idle by then.
+    Idle,
+    /// The body of a rejection.
+    Rejection,
+    /// The body of a response to another request.
+    OtherResponse,
+    /// The body of a health response; calls are served.
+    Health,
 }
 
 impl Endless {
@@ -96,8 +109,25 @@
             Endless::Head => ("HTTP/1.1 200 OK\r\n".to_owned(), "x: y\r\n".repeat(1000)),
             Endless::ChunkExtension => (format!("{chunked}5;"), "a=b;".repeat(1000)),
             Endless::Trailer => (format!("{chunked}0\r\n"), "x: y\r\n".repeat(1000)),
-            Endless::Body => (chunked, format!("1000\r\n{}\r\n", "x".repeat(0x1000))),
+            Endless::Body => (chunked, endless_chunks()),
             Endless::SlowBody => (format!("{chunked}ffffff\r\n"), "x".to_owned()),
+            Endless::Junk => (String::new(), "x".repeat(0x1000)),
+            Endless::Idle | Endless::Health => {
+                let complete = format!(
+                    "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n{REQUEST_ID}: {id}\r\n\
+                     x-basilhaven-server-signature: s.1\r\n\r\n"
+                );
+                (complete, "x".repeat(0x1000))
+            }
+            Endless::Rejection => {
+                let (name, value) = REJECTION;
+                let head = format!(
+                    "HTTP/1.1 503 -\r\ntransfer-encoding: chunked\r\n{REQUEST_ID}: {id}\r\n\
+                     {name}: {value}\r\n\r\n"
+                );
+                (head, endless_chunks())
+            }
+            Endless::OtherResponse => (chunked.replace(id, "other"), endless_chunks()),
         };
         let interval = match self {
             Endless::SlowBody => Duration::from_millis(50),
@@ -107,6 +137,11 @@
     }
 }
 
+/// Returns a chunk of a body that never ends.
+fn endless_chunks() -> String {
+    format!("1000\r\n{}\r\n", "x".repeat(0x1000))
+}
+
 #[derive(Debug)]
 struct State {
     behaviour: Behaviour,
@@ -306,6 +341,13 @@
                 ];
                 headers.extend(limit.as_deref().map(|limit| (LIMIT, limit)));
                 headers.extend(self.lock().is_leaving.then_some((LEAVING, "1")));
+                if self.lock().behaviour == Behaviour::Endless(Endless::Health) {
+                    let fields = headers.iter().map(|(name, value)| format!("{name}: {value}\r\n"));
+                    let fields: String = fields.collect();
+                    let head = format!("HTTP/1.1 {status} -\r\n{fields}\r\n");
+                    stream.write_all(head.as_bytes())?;
+                    return send_without_end(&mut stream, &[b'x'; 0x1000], Duration::ZERO);
+                }
                 write_response(&mut stream, status, &headers, b"")?;
                 continue;
             }
@@ -409,11 +451,12 @@
             Behaviour::Endless(part) => {
                 let (start, repeated, interval) = part.bytes(&id);
                 stream.write_all(start.as_bytes())?;
-                // Ends with a write error when the caller closes the connection.
-                loop {
-                    stream.write_all(&repeated)?;
-                    std::thread::sleep(interval);
+                match part {
+                    Endless::Health => return Ok(true),
+                    Endless::Idle => std::thread::sleep(IDLE_TIME),
+                    _ => {}
                 }
+                send_without_end(stream, &repeated, interval)?;
             }
             Behaviour::Serves(time) => {
                 std::thread::sleep(time);
@@ -434,6 +477,14 @@
     }
 }
 
+/// Sends bytes until the caller closes the connection, which ends in a write error.
+fn send_without_end(stream: &mut TcpStream, bytes: &[u8], interval: Duration) -> io::Result<()> {
+    loop {
+        stream.write_all(bytes)?;
+        std::thread::sleep(interval);
+    }
+}
+
 /// The responses that are to be sent a second time on a connection when the next request arrives.
 #[derive(Debug, Default)]
 struct Repeats {
--- a/crates/basilhaven-bench/tests/clients.rs
+++ b/crates/basilhaven-bench/tests/clients.rs
@@ -9,11 +9,12 @@
 use std::future::Future;
 use std::io::Write as _;
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Barrier, Mutex, PoisonError};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Barrier, Mutex, PoisonError};
 use std::time::Duration;
 
 use basilhaven_bench::gateway::{config_with, receive, wait_until, Host, SERVICE};
+use basilhaven_bench::monitor::{Monitor, Peak};
 use basilhaven_bench::standin::block_on;
 use basilhaven_bench::standin::users::store::Store;
 use basilhaven_bench::standin::users::upstream::{Behaviour, Endless, Upstream};
@@ -52,8 +53,6 @@
 /// How long a client that the gateway neither reads from nor closes waits before it gives up.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
 
-const SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
-
 /// Serializes the tests.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
@@ -88,7 +87,7 @@
         let settings = [("BASILHAVEN_MEMORY_MB", &*memory), ("BASILHAVEN_MAX_FDS", &*fds)];
         let host = Host::start_with(store.address(), Ipv4Addr::LOCALHOST, 0, "", &settings).await;
         wait_until("the host is ready", || host.is_ready()).await;
-        let monitor = Monitor::start(&host);
+        let monitor = Monitor::start(host.process.id(), &[host.callers.port()], &[]);
         Fixture { host, _store: store, upstream, monitor }
     }
 
@@ -102,7 +101,7 @@
         })
         .await;
         let peak = self.host.process.peak_bytes();
-        let (held, fds) = self.monitor.finish();
+        let Peak { bytes: held, descriptors: fds } = self.monitor.finish();
         drop(crowd);
         println!("peak resident {peak}, peak with unread bytes {held}, peak descriptors {fds}");
         assert!(peak <= MEMORY_BYTES, "{peak} bytes resident");
@@ -111,60 +110,6 @@
     }
 }
 
-/// Samples what a gateway uses until it is finished.
-struct Monitor {
-    is_finished: Arc<AtomicBool>,
-    sampler: std::thread::JoinHandle<(u64, u64)>,
-}
-
-impl Monitor {
-    fn start(host: &Host) -> Monitor {
-        let (id, port) = (host.process.id(), host.callers.port());
-        let is_finished = Arc::new(AtomicBool::new(false));
-        let is_sampler_finished = Arc::clone(&is_finished);
-        let sampler = std::thread::spawn(move || {
-            let mut peaks = (0, 0);
-            while !is_sampler_finished.load(Ordering::Relaxed) {
-                let held = resident_bytes(id) + unread_bytes(port);
-                let fds = std::fs::read_dir(format!("/proc/{id}/fd")).map_or(0, Iterator::count);
-                peaks = (peaks.0.max(held), peaks.1.max(fds as u64));
-                std::thread::sleep(SAMPLE_INTERVAL);
-            }
-            peaks
-        });
-        Monitor { is_finished, sampler }
-    }
-
-    /// Returns the most resident and unread bytes, and the most open descriptors.
-    fn finish(self) -> (u64, u64) {
-        self.is_finished.store(true, Ordering::Relaxed);
-        self.sampler.join().expect("the sampler does not panic")
-    }
-}
-
-/// Returns the resident memory of a process; 0 if it has ended.
-fn resident_bytes(id: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
-    kib.unwrap_or(0) * 1024
-}
-
-/// Returns the bytes that the operating system has received on connections to a local port and that
-/// the process has not read; they count as memory of the process.
-fn unread_bytes(port: u16) -> u64 {
-    const LISTENING: &str = "0A";
-    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
-    let port = format!(":{port:04X}");
-    let unread = |line: &str| {
-        let fields: Vec<&str> = line.split_whitespace().collect();
-        let is_own = fields.get(1)?.ends_with(&port) && *fields.get(3)? != LISTENING;
-        let (_, unread) = fields.get(4)?.split_once(':')?;
-        u64::from_str_radix(unread, 16).ok().filter(|_| is_own)
-    };
-    table.lines().skip(1).filter_map(unread).sum()
-}
-
 /// Plays a crowd: all clients connect, and then all send their messages at once, each until
 /// everything is sent or its connection has ended. Returns the connections, still open.
 fn play<F>(address: SocketAddr, clients: usize, messages: F) -> Vec<TcpStream>
--- a/crates/basilhaven/src/gateway/attempt.rs
+++ b/crates/basilhaven/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use http::header::{self, HeaderMap, HeaderValue};
 
-use super::{history, protocol, shaper, upstream};
+use super::{history, memory, protocol, shaper, upstream};
 use crate::http1::{self, body, head};
 use crate::profile;
 
@@ -94,6 +94,8 @@
     pub body: Bytes,
     /// The part of a long body that is still to be read.
     pub remainder: Option<Box<Remainder>>,
+    /// Counts the memory of the body; `None` if there is none.
+    pub share: Option<memory::Share>,
     /// The upstream, if the response says that it is leaving.
     pub leaving: Option<Rc<str>>,
 }
@@ -122,14 +124,15 @@
     Unknown(Cause),
 }
 
-/// Sends a call to an upstream and waits for the response. `sends` are the earlier attempts of the
-/// call; `outbound` shapes the body.
+/// Sends a call to an upstream and waits for the response, whose memory `share` counts. `sends` are
+/// the earlier attempts of the call; `outbound` shapes the body.
 pub async fn send(
     call: &Call,
     upstream: &upstream::Upstream,
     protocol: &protocol::Protocol,
     sends: &history::Sends,
     outbound: Option<&shaper::Shaper>,
+    share: memory::Share,
 ) -> Outcome {
     let opened = timeout_at(call.deadline, connect(call, upstream, sends)).await;
     let mut conn = match opened {
@@ -142,7 +145,7 @@
         Err(_) => return Outcome::NotRun(Cause::Timeout),
     };
     let sent_at = Instant::now();
-    let exchange = exchange(call, upstream, protocol, &mut conn, outbound);
+    let exchange = exchange(call, upstream, protocol, &mut conn, outbound, &share);
     let received = match timeout_at(call.deadline, exchange).await {
         Ok(received) => received,
         Err(_) => return Outcome::Unknown(Cause::Timeout),
@@ -160,7 +163,7 @@
                     upstream.mark_leaving(upstream::Source::Call);
                 }
             }
-            finish(received, conn, upstream, protocol, call.deadline)
+            finish(received, conn, upstream, protocol, call.deadline, share)
         }
         Err(error) => {
             tracing::debug!(event = "exchange_failed", upstream = &*upstream.id, %error);
@@ -228,6 +231,7 @@
     protocol: &protocol::Protocol,
     conn: &mut http1::Conn,
     outbound: Option<&shaper::Shaper>,
+    share: &memory::Share,
 ) -> Result<Received, http1::Error> {
     let mut unsent = encode(call, upstream, &protocol.headers);
     conn.write(unsent.take_first()).await?;
@@ -246,7 +250,7 @@
             (None, Some(_)) => !response.parts.headers.contains_key(&protocol.headers.upstream_id),
             _ => true,
         };
-        let body = buffer_body(conn, &mut reader).await?;
+        let body = buffer_body(conn, &mut reader, share).await?;
         if is_own {
             let has_id = echoed.is_some() || call.id.is_none();
             let mut received =
@@ -256,6 +260,7 @@
             return Ok(received);
         }
         mismatched += 1;
+        share.release(share.len());
         let is_last = response.framing == body::Framing::UntilClose || !reader.is_done();
         if is_last || mismatched > MAX_MISMATCHED_RESPONSES {
             return Err(http1::Error::malformed("response to another request"));
@@ -263,17 +268,37 @@
     }
 }
 
-/// Reads the body up to the length that is buffered.
+/// Reads the body up to the length that is buffered, or until there is no memory for more: the rest
+/// is then read as the caller takes it. `share` counts what is held.
 pub(super) async fn buffer_body(
     conn: &mut http1::Conn,
     reader: &mut body::Reader,
+    share: &memory::Share,
 ) -> Result<Bytes, http1::Error> {
     let mut buffer = BytesMut::new();
     while buffer.len() < MAX_BUFFERED_LEN {
-        match reader.next(conn).await? {
-            Some(piece) if buffer.is_empty() && reader.is_done() => return Ok(piece),
-            Some(piece) => buffer.extend_from_slice(&piece),
-            None => break,
+        let Some(piece) = reader.next(conn).await? else { break };
+        if buffer.is_empty() && reader.is_done() {
+            share.add_held(piece.len(), Instant::now());
+            return Ok(piece);
+        }
+        if buffer.is_empty() {
+            share.add_connection(conn, Instant::now());
+        }
+        let capacity = buffer.capacity();
+        let is_full = buffer.len() + piece.len() > capacity;
+        // A buffer grows to twice its length.
+        let more = if is_full { capacity.max(piece.len()) } else { 0 };
+        let has_room = share.try_grow(more);
+        if !has_room {
+            share.add_held(piece.len(), Instant::now());
+            buffer.reserve(piece.len());
+        } else if is_full {
+            buffer.reserve(capacity + more - buffer.len());
+        }
+        buffer.extend_from_slice(&piece);
+        if !has_room {
+            break;
         }
     }
     Ok(buffer.freeze())
@@ -311,6 +336,7 @@
     upstream: &upstream::Upstream,
     protocol: &protocol::Protocol,
     deadline: Instant,
+    share: memory::Share,
 ) -> Outcome {
     let Received { response, body, reader, is_not_run, is_valid, is_reusable } = received;
     let mut remainder = None;
@@ -332,7 +358,8 @@
         headers.remove(header::RETRY_AFTER);
     }
     let leaving = headers.remove(&protocol.headers.leaving).map(|_| Rc::clone(&upstream.id));
-    Outcome::Answered(Response { status: response.parts.status, headers, body, remainder, leaving })
+    let (status, share) = (response.parts.status, Some(share));
+    Outcome::Answered(Response { status, headers, body, remainder, share, leaving })
 }
 
 /// Encodes the request to an upstream.
--- a/crates/basilhaven/src/gateway/forward.rs
+++ b/crates/basilhaven/src/gateway/forward.rs
@@ -13,7 +13,7 @@
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use indexmap::IndexMap;
 
-use super::{attempt, cluster, history, notify, pause, protocol, relay, shaper};
+use super::{attempt, cluster, history, memory, notify, pause, protocol, relay, shaper};
 use crate::http1::{self, body, head};
 use crate::profile;
 
@@ -291,13 +291,18 @@
 pub struct Forwarder {
     protocol: protocol::Protocol,
     members: Rc<cluster::Members>,
+    memory: Rc<memory::Budget>,
     peers: RefCell<IndexMap<SocketAddr, Rc<Peer>>>,
 }
 
 impl Forwarder {
-    /// Creates a forwarder to the hosts among `members`.
-    pub fn new(protocol: protocol::Protocol, members: Rc<cluster::Members>) -> Forwarder {
-        Forwarder { protocol, members, peers: RefCell::default() }
+    /// Creates a forwarder to the hosts among `members`, whose responses are counted in `memory`.
+    pub fn new(
+        protocol: protocol::Protocol,
+        members: Rc<cluster::Members>,
+        memory: Rc<memory::Budget>,
+    ) -> Forwarder {
+        Forwarder { protocol, members, memory, peers: RefCell::default() }
     }
 
     /// Chooses the host that takes the next call of a service; `None` if no other host reaches the
@@ -389,7 +394,9 @@
         let (method, max_len) = (&call.parts.method, attempt::MAX_HEAD_LEN);
         let mut response = conn.send_and_read_response(&mut unsent, method, max_len).await?;
         let mut reader = body::Reader::new(response.framing);
-        let body = attempt::buffer_body(&mut conn, &mut reader).await?;
+        let (purpose, phase) = (memory::Purpose::Response, memory::Phase::Serving);
+        let share = self.memory.share(purpose, phase, Instant::now());
+        let body = attempt::buffer_body(&mut conn, &mut reader, &share).await?;
         let ending = Ending::take(&mut response.parts.headers);
         let mut remainder = None;
         if !reader.is_done() {
@@ -405,7 +412,15 @@
                 head::remove_hop_by_hop(&mut headers);
                 let leaving = headers.remove(LEAVING);
                 let leaving = leaving.and_then(|id| id.to_str().ok().map(Rc::from));
-                Outcome::Answered(attempt::Response { status, headers, body, remainder, leaving })
+                let share = Some(share);
+                Outcome::Answered(attempt::Response {
+                    status,
+                    headers,
+                    body,
+                    remainder,
+                    share,
+                    leaving,
+                })
             }
             Ending::NotRun { attempts, sends } => {
                 let retry_after = response.parts.headers.get(header::RETRY_AFTER);
--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -62,6 +62,7 @@
             headers: http::HeaderMap::new(),
             body: bytes::Bytes::new(),
             remainder: None,
+            share: None,
             leaving: None,
         })
     }
@@ -250,9 +251,11 @@
         let running = frontend.usage.begin(counted, sent_at);
         let outcome = match entered {
             Ok(_entered) => {
+                let (protocol, sends) = (&frontend.protocol, &progress.sends);
                 let outbound = frontend.outbound_shaper();
-                attempt::send(call, &permit.upstream, &frontend.protocol, &progress.sends, outbound)
-                    .await
+                let (purpose, phase) = (memory::Purpose::Response, memory::Phase::Serving);
+                let share = frontend.memory.share(purpose, phase, sent_at);
+                attempt::send(call, &permit.upstream, protocol, sends, outbound, share).await
             }
             Err(cause) => attempt::Outcome::NotRun(cause),
         };
--- a/crates/basilhaven/src/gateway/frontend/response.rs
+++ b/crates/basilhaven/src/gateway/frontend/response.rs
@@ -35,16 +35,17 @@
         attempts::Reply::Response(response) => response.leaving.clone(),
         attempts::Reply::NotRun { .. } | attempts::Reply::Unknown(_) => None,
     };
-    let (status, mut headers, body, remainder) = match reply {
+    let (status, mut headers, body, remainder, share) = match reply {
         attempts::Reply::NotRun { retry_after, .. } => {
             let mut headers = HeaderMap::new();
             let after = format!("{:.3}", retry_after.as_secs_f64());
             headers.insert(header::RETRY_AFTER, HeaderValue::from_str(&after).expect("a number"));
-            (http::StatusCode::SERVICE_UNAVAILABLE, headers, Bytes::new(), None)
+            (http::StatusCode::SERVICE_UNAVAILABLE, headers, Bytes::new(), None, None)
         }
-        attempts::Reply::Unknown(status) => (status, HeaderMap::new(), Bytes::new(), None),
+        attempts::Reply::Unknown(status) => (status, HeaderMap::new(), Bytes::new(), None, None),
         attempts::Reply::Response(response) => {
-            (response.status, response.headers, response.body, response.remainder)
+            let attempt::Response { status, headers, body, remainder, share, .. } = response;
+            (status, headers, body, remainder, share)
         }
     };
     if let Source::Host(_) = source {
@@ -54,8 +55,7 @@
         }
     }
     let (purpose, phase) = (memory::Purpose::Response, memory::Phase::Serving);
-    let share = frontend.memory.share(purpose, phase, Instant::now());
-    share.add_held(body.len(), Instant::now());
+    let share = share.unwrap_or_else(|| frontend.memory.share(purpose, phase, Instant::now()));
     let head = (status, headers);
     match remainder {
         None => send_response(conn, head, body, persistence, &share).await,
@@ -141,10 +141,6 @@
         body::Framing::UntilClose => body::Framing::Chunked,
         framing => framing,
     };
-    if max_ahead.is_some() {
-        // Fails only if the connection has ended, which the next read tells.
-        let _ = remainder.conn.limit_receive_buffer(memory::RECEIVE_LEN);
-    }
     let pieces = Pieces::new(share, max_ahead.unwrap_or(0));
     let deliver = async {
         let encoded =
--- a/crates/basilhaven/src/gateway/memory.rs
+++ b/crates/basilhaven/src/gateway/memory.rs
@@ -13,6 +13,7 @@
 use indexmap::IndexMap;
 
 use super::notify;
+use crate::http1;
 
 /// The part of the process's memory that callers' bytes may take. The rest is for the program, the
 /// list of upstreams, the other hosts, what the operating system has received and nobody has read,
@@ -39,6 +40,12 @@
 /// megabytes. A 200 Mbit/s host fills its link with this at round trips of 5 ms.
 pub const RECEIVE_LEN: usize = 128 * 1024;
 
+/// The least that the operating system may receive on a connection before it is read, and the part
+/// of the budget that it receives of a response with a long body: a thousand connections may receive
+/// as much as the budget again.
+const MIN_RECEIVE_LEN: usize = 16 * 1024;
+const RECEIVE_SHARE: f64 = 0.001;
+
 /// Descriptors that are kept for files.
 const RESERVED_FDS: usize = 200;
 
@@ -218,6 +225,13 @@
         self.limit.map(|limit| (limit as f64 * RESPONSE_SHARE) as usize)
     }
 
+    /// Returns the bytes that the operating system may receive on a connection with a long response
+    /// before they are read; `None` without a limit.
+    fn response_receive_len(&self) -> Option<usize> {
+        let len = |limit| (limit as f64 * RECEIVE_SHARE) as usize;
+        self.limit.map(|limit| len(limit).clamp(MIN_RECEIVE_LEN, RECEIVE_LEN))
+    }
+
     /// Returns the bytes that are held for a purpose.
     pub fn held(&self, purpose: Purpose) -> usize {
         self.held[purpose as usize].get()
@@ -426,6 +440,18 @@
         }
     }
 
+    /// Counts what a connection holds that carries a long response: its read buffer, and what the
+    /// operating system receives before it is read, which is limited.
+    pub fn add_connection(&self, conn: &http1::Conn, now: Instant) {
+        let received = self.budget.response_receive_len().unwrap_or_default();
+        if received > 0 {
+            // Fails only if the connection has ended, which the next read tells.
+            let _ = conn.limit_receive_buffer(received);
+        }
+        // The operating system allows for as much again.
+        self.add_held(conn.next_buffer_len() + 2 * received, now);
+    }
+
     /// Returns the bytes that the holder holds.
     pub fn len(&self) -> usize {
         self.holder.bytes.get()
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -240,14 +240,16 @@
         Rc::clone(prober),
         Rc::clone(services),
     );
-    let forwarder = forward::Forwarder::new(protocol.clone(), Rc::clone(&replica.members));
+    let memory = Rc::new(memory::Budget::new(settings.limits));
+    let members = Rc::clone(&replica.members);
+    let forwarder = forward::Forwarder::new(protocol.clone(), members, Rc::clone(&memory));
     Rc::new(frontend::Frontend {
         config: Rc::clone(&replica.config),
         balancer,
         forwarder,
         usage: usage.as_ref().map_or_else(Rc::default, |usage| Rc::clone(&usage.counter)),
         members: Rc::clone(&replica.members),
-        memory: Rc::new(memory::Budget::new(settings.limits)),
+        memory,
         protocol,
         inbound: shaper::Shaper::new(settings.link_mbps),
         outbound: shaper::Shaper::new(settings.link_mbps),
