Pause on connections with much data, and join short chunks

Cause: a task let others run after 16 reads but stayed runnable, and timers fire only when no task is. With data on enough connections no time limit was kept. And each chunk of a byte was handled as a piece of a body.

Change: after 16 reads of a message, or as much work on lines between chunks, the task pauses for a millisecond. Short chunks that have been read are joined into one piece.

--- a/crates/basilhaven/src/http1/body.rs
+++ b/crates/basilhaven/src/http1/body.rs
@@ -23,6 +23,11 @@
 /// Maximum length in bytes of a chunk-size line or a trailer line.
 const MAX_LINE_LEN: usize = 256;
 
+const LINE_BREAK: &[u8] = b"\r\n";
+
+/// Length in bytes from which a part of a chunk is a piece of its own, and not copied.
+const MIN_UNJOINED_LEN: usize = 2048;
+
 /// Maximum total length in bytes of the trailer lines.
 const MAX_TRAILER_LEN: usize = 4096;
 
@@ -30,6 +35,8 @@
 #[derive(Debug)]
 pub struct Reader {
     state: State,
+    /// The lines between chunks decoded since the last read.
+    lines: u32,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -59,7 +66,7 @@
             Framing::Chunked => State::ChunkSize,
             Framing::UntilClose => State::UntilClose,
         };
-        Reader { state }
+        Reader { state, lines: 0 }
     }
 
     /// Returns `true` if the whole body has been read.
@@ -88,6 +95,7 @@
                 Decoded::Done => return Ok(None),
                 Decoded::NeedsMore => {}
             }
+            conn.count_lines(std::mem::take(&mut self.lines));
             if conn.fill().await? == 0 {
                 if self.state != State::UntilClose {
                     return Err(Error::cut_short("body cut short"));
@@ -113,53 +121,85 @@
     ///
     /// Returns an error if the framing is malformed.
     pub(super) fn decode(&mut self, buffer: &mut BytesMut) -> Result<Decoded, Error> {
-        loop {
-            match self.state {
-                State::Done => return Ok(Decoded::Done),
-                _ if buffer.is_empty() => return Ok(Decoded::NeedsMore),
-                State::UntilClose => return Ok(Decoded::Piece(buffer.split().freeze())),
-                State::Length(left) => {
-                    let piece = split_piece(buffer, left);
-                    self.state = match left - piece.len() as u64 {
-                        0 => State::Done,
-                        left => State::Length(left),
-                    };
-                    return Ok(Decoded::Piece(piece));
+        match self.state {
+            State::Done => Ok(Decoded::Done),
+            _ if buffer.is_empty() => Ok(Decoded::NeedsMore),
+            State::UntilClose => Ok(Decoded::Piece(buffer.split().freeze())),
+            State::Length(left) => {
+                let piece = split_piece(buffer, left);
+                self.state = match left - piece.len() as u64 {
+                    0 => State::Done,
+                    left => State::Length(left),
+                };
+                Ok(Decoded::Piece(piece))
+            }
+            _ => self.decode_chunks(buffer),
+        }
+    }
+
+    /// Decodes a long part of a chunk, or all short chunks in the buffer, which make one piece:
+    /// handling a piece costs far more than its bytes if these are few.
+    fn decode_chunks(&mut self, buffer: &mut BytesMut) -> Result<Decoded, Error> {
+        let mut joined = Vec::new();
+        let mut at = 0;
+        while let State::Chunk(_) | State::ChunkSize | State::ChunkEnd | State::Trailer { .. } =
+            self.state
+        {
+            let rest = &buffer[at..];
+            if let State::Chunk(left) = self.state {
+                let len = usize::try_from(left).unwrap_or(usize::MAX).min(rest.len());
+                if len == 0 || len >= MIN_UNJOINED_LEN && !joined.is_empty() {
+                    break;
                 }
-                State::Chunk(left) => {
-                    let piece = split_piece(buffer, left);
-                    self.state = match left - piece.len() as u64 {
-                        0 => State::ChunkEnd,
-                        left => State::Chunk(left),
-                    };
-                    return Ok(Decoded::Piece(piece));
+                self.state = match left - len as u64 {
+                    0 => State::ChunkEnd,
+                    left => State::Chunk(left),
+                };
+                if len >= MIN_UNJOINED_LEN {
+                    buffer.advance(at);
+                    return Ok(Decoded::Piece(buffer.split_to(len).freeze()));
                 }
-                State::ChunkSize => match take_line(buffer)? {
-                    None => return Ok(Decoded::NeedsMore),
-                    Some(line) => {
-                        self.state = match parse_chunk_size(&line)? {
-                            0 => State::Trailer { len: 0 },
-                            size => State::Chunk(size),
-                        };
-                    }
-                },
-                State::ChunkEnd => match take_line(buffer)? {
-                    None => return Ok(Decoded::NeedsMore),
-                    Some(line) if line.is_empty() => self.state = State::ChunkSize,
-                    Some(_) => {
-                        return Err(Error::malformed("chunk data is longer than its chunk size"))
-                    }
-                },
-                State::Trailer { len } => match take_line(buffer)? {
-                    None => return Ok(Decoded::NeedsMore),
-                    Some(line) if line.is_empty() => self.state = State::Done,
-                    Some(line) if len + line.len() > MAX_TRAILER_LEN => {
-                        return Err(Error::malformed("trailer too large"));
-                    }
-                    Some(line) => self.state = State::Trailer { len: len + line.len() },
-                },
+                joined.extend_from_slice(&rest[..len]);
+                at += len;
+                continue;
+            }
+            match self.take_line(rest) {
+                Ok(0) => break,
+                Ok(len) => {
+                    at += len;
+                    self.lines = self.lines.saturating_add(1);
+                }
+                // What precedes the malformed line is returned first.
+                Err(_) if !joined.is_empty() => break,
+                Err(error) => return Err(error),
             }
         }
+        buffer.advance(at);
+        Ok(match (joined.is_empty(), self.state) {
+            (false, _) => Decoded::Piece(joined.into()),
+            (true, State::Done) => Decoded::Done,
+            (true, _) => Decoded::NeedsMore,
+        })
+    }
+
+    /// Takes the line at the start of `rest` that delimits chunks or belongs to the trailer; returns
+    /// its length, or 0 if it is not complete.
+    fn take_line(&mut self, rest: &[u8]) -> Result<usize, Error> {
+        let Some(line) = first_line(rest)? else { return Ok(0) };
+        self.state = match self.state {
+            State::ChunkSize => match parse_chunk_size(line)? {
+                0 => State::Trailer { len: 0 },
+                size => State::Chunk(size),
+            },
+            State::Trailer { .. } if line.is_empty() => State::Done,
+            State::Trailer { len } if len + line.len() > MAX_TRAILER_LEN => {
+                return Err(Error::malformed("trailer too large"));
+            }
+            State::Trailer { len } => State::Trailer { len: len + line.len() },
+            _ if line.is_empty() => State::ChunkSize,
+            _ => return Err(Error::malformed("chunk data is longer than its chunk size")),
+        };
+        Ok(line.len() + LINE_BREAK.len())
     }
 }
 
@@ -179,20 +219,14 @@
     buffer.split_to(len).freeze()
 }
 
-/// Removes the next line from the buffer, if it is complete, and returns it without its CRLF.
-fn take_line(buffer: &mut BytesMut) -> Result<Option<Bytes>, Error> {
-    match buffer.iter().position(|&b| b == b'\n') {
-        Some(0) => Err(Error::malformed("line feed without carriage return")),
-        Some(at) if buffer[at - 1] != b'\r' => {
-            Err(Error::malformed("line feed without carriage return"))
-        }
-        Some(at) if at > MAX_LINE_LEN => Err(Error::malformed("line too long")),
-        Some(at) => {
-            let line = buffer.split_to(at - 1).freeze();
-            buffer.advance(2);
-            Ok(Some(line))
-        }
-        None if buffer.len() > MAX_LINE_LEN => Err(Error::malformed("line too long")),
+/// Returns the first line without its line break, if it is complete.
+fn first_line(bytes: &[u8]) -> Result<Option<&[u8]>, Error> {
+    match bytes.iter().take(MAX_LINE_LEN + 1).position(|&b| b == b'\n') {
+        Some(at) => match bytes[..=at].strip_suffix(LINE_BREAK) {
+            Some(line) => Ok(Some(line)),
+            None => Err(Error::malformed("line feed without carriage return")),
+        },
+        None if bytes.len() > MAX_LINE_LEN => Err(Error::malformed("line too long")),
         None => Ok(None),
     }
 }
--- a/crates/basilhaven/src/http1/conn.rs
+++ b/crates/basilhaven/src/http1/conn.rs
@@ -19,15 +19,23 @@
 /// Maximum number of interim responses before a final one; servers send one or two.
 const MAX_INTERIM: usize = 16;
 
-/// Number of reads after which a task yields. A connection on which data keeps arriving would
-/// otherwise starve other tasks and timers.
-const READS_PER_YIELD: u32 = 16;
+/// Number of reads of one message after which a task pauses. Connections on which data keeps arriving
+/// would otherwise starve other tasks and timers.
+const READS_PER_PAUSE: u32 = 16;
+
+/// Number of lines between chunks whose decoding counts as one more read.
+const LINES_PER_READ: u32 = 256;
+
+/// Length of a pause, the shortest that the timers have. A task that merely lets others run first is
+/// not enough: the runtime looks at its timers only when no task can run.
+const PAUSE: Duration = Duration::from_millis(1);
 
 /// A connection of a client or server, with the bytes that were read but not yet consumed.
 #[derive(Debug)]
 pub struct Conn {
     stream: TcpStream,
     pub(super) buffer: BytesMut,
+    /// Reads of a message since its begin or the last pause.
     reads: u32,
 }
 
@@ -97,9 +105,10 @@
     ///
     /// If the returned future is dropped before it completes, the connection must be closed.
     pub(super) async fn fill(&mut self) -> io::Result<usize> {
-        self.reads = self.reads.wrapping_add(1);
-        if self.reads.is_multiple_of(READS_PER_YIELD) {
-            yield_now().await;
+        self.reads += 1;
+        if self.reads > READS_PER_PAUSE {
+            self.reads = 0;
+            monoio::time::sleep(PAUSE).await;
         }
         self.buffer.reserve(READ_LEN);
         let tail = self.buffer.split_off(self.buffer.len());
@@ -108,6 +117,11 @@
         result
     }
 
+    /// Counts the decoding of so many lines as work after which the task pauses.
+    pub(super) fn count_lines(&mut self, lines: u32) {
+        self.reads += lines / LINES_PER_READ;
+    }
+
     /// Writes all of `bytes`.
     ///
     /// # Errors
@@ -280,7 +294,7 @@
     /// connection fails within it.
     pub async fn read_request(&mut self, max_len: usize) -> Result<Option<head::Request>, Error> {
         loop {
-            if let Some(request) = head::decode_request(&mut self.buffer, max_len)? {
+            if let Some(request) = self.take_request(max_len)? {
                 return Ok(Some(request));
             }
             if self.fill().await? == 0 {
@@ -337,7 +351,10 @@
                             return Err(Error::malformed("too many interim responses"));
                         }
                     }
-                    _ => return Ok(response),
+                    _ => {
+                        self.reads = 0;
+                        return Ok(response);
+                    }
                 }
             }
             self.write_unsent_unless_answered(unsent).await?;
@@ -353,7 +370,9 @@
     ///
     /// Returns an error if the head is malformed or larger than `max_len` bytes.
     pub fn take_request(&mut self, max_len: usize) -> Result<Option<head::Request>, Error> {
-        head::decode_request(&mut self.buffer, max_len)
+        let request = head::decode_request(&mut self.buffer, max_len)?;
+        self.reads = if request.is_some() { 0 } else { self.reads };
+        Ok(request)
     }
 
     /// Reads more bytes of a head into the read buffer, and returns how many.
