Date a list by its first page that arrives

The time of a list counted from the first request, also if the store was away for seconds after it, so that the host took the list for old and left the store once more. It counts from the request of the first page that arrives now, and the next read is due earlier after a long one.

Also: the buffers of a connection are counted for as long as its response is read, and a response's share is registered in one place. Behaviour is the same but for the count.

--- a/crates/basilhaven/src/gateway/attempt.rs
+++ b/crates/basilhaven/src/gateway/attempt.rs
@@ -276,6 +276,7 @@
     share: &memory::Share,
 ) -> Result<Bytes, http1::Error> {
     let mut buffer = BytesMut::new();
+    let mut conn_len = 0;
     while buffer.len() < MAX_BUFFERED_LEN {
         let Some(piece) = reader.next(conn).await? else { break };
         if buffer.is_empty() && reader.is_done() {
@@ -283,7 +284,7 @@
             return Ok(piece);
         }
         if buffer.is_empty() {
-            share.add_connection(conn, Instant::now());
+            conn_len = share.add_connection(conn, Instant::now());
         }
         let capacity = buffer.capacity();
         let is_full = buffer.len() + piece.len() > capacity;
@@ -301,6 +302,9 @@
             break;
         }
     }
+    if reader.is_done() {
+        share.release(conn_len);
+    }
     Ok(buffer.freeze())
 }
 
--- a/crates/basilhaven/src/gateway/forward.rs
+++ b/crates/basilhaven/src/gateway/forward.rs
@@ -394,8 +394,7 @@
         let (method, max_len) = (&call.parts.method, attempt::MAX_HEAD_LEN);
         let mut response = conn.send_and_read_response(&mut unsent, method, max_len).await?;
         let mut reader = body::Reader::new(response.framing);
-        let (purpose, phase) = (memory::Purpose::Response, memory::Phase::Serving);
-        let share = self.memory.share(purpose, phase, Instant::now());
+        let share = self.memory.response_share();
         let body = attempt::buffer_body(&mut conn, &mut reader, &share).await?;
         let ending = Ending::take(&mut response.parts.headers);
         let mut remainder = None;
--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -253,8 +253,7 @@
             Ok(_entered) => {
                 let (protocol, sends) = (&frontend.protocol, &progress.sends);
                 let outbound = frontend.outbound_shaper();
-                let (purpose, phase) = (memory::Purpose::Response, memory::Phase::Serving);
-                let share = frontend.memory.share(purpose, phase, sent_at);
+                let share = frontend.memory.response_share();
                 attempt::send(call, &permit.upstream, protocol, sends, outbound, share).await
             }
             Err(cause) => attempt::Outcome::NotRun(cause),
--- a/crates/basilhaven/src/gateway/frontend/response.rs
+++ b/crates/basilhaven/src/gateway/frontend/response.rs
@@ -54,8 +54,7 @@
             forward::write_leaving(&mut headers, &upstream);
         }
     }
-    let (purpose, phase) = (memory::Purpose::Response, memory::Phase::Serving);
-    let share = share.unwrap_or_else(|| frontend.memory.share(purpose, phase, Instant::now()));
+    let share = share.unwrap_or_else(|| frontend.memory.response_share());
     let head = (status, headers);
     match remainder {
         None => send_response(conn, head, body, persistence, &share).await,
--- a/crates/basilhaven/src/gateway/listing.rs
+++ b/crates/basilhaven/src/gateway/listing.rs
@@ -109,35 +109,40 @@
         // Pages are read at different revisions; polling after the lowest one misses no change.
         let revision = revision.min(page.revision);
         self.items.extend(page.items);
-        if !page.has_more {
-            let Listing { items, began_at, .. } = std::mem::take(self);
-            let changes = store::Changes { items, revision };
-            return Ok(Some(Complete { changes, began_at: began_at.unwrap_or(now) }));
-        }
-        if page.last.is_none() || page.last <= self.after {
+        if page.has_more && (page.last.is_none() || page.last <= self.after) {
             let after = self.after.take();
             self.restart();
             return Err(store::Error::Endless(after.map(|after| after.to_string())));
         }
-        self.after = page.last;
-        self.revision = Some(revision);
         self.advanced_at = Some(now);
         self.page_len = (self.page_len * GROWTH).min(MAX_PAGE_LEN);
+        if !page.has_more {
+            let changes = store::Changes { items: std::mem::take(&mut self.items), revision };
+            let began_at = self.began_at.unwrap_or(now);
+            self.restart();
+            return Ok(Some(Complete { changes, began_at }));
+        }
+        self.after = page.last;
+        self.revision = Some(revision);
         Ok(None)
     }
 
     /// Records that the requested page did not arrive.
     pub fn record_failure(&mut self) {
         self.page_len = (self.page_len / SHRINKAGE).max(MIN_PAGE_LEN);
+        if self.revision.is_none() {
+            self.began_at = None;
+        }
     }
 
-    /// Returns the time since the last page but the final one arrived; `Duration::MAX` if there is
-    /// none.
+    /// Returns the time since the last page arrived; `Duration::MAX` if there is none.
     pub fn idle_time(&self, now: Instant) -> Duration {
         self.advanced_at.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
     }
 
-    fn restart(&mut self) {
-        *self = Listing { page_len: self.page_len, ..Listing::default() };
+    /// Drops what was read, so that the next page is the first one.
+    pub fn restart(&mut self) {
+        let (page_len, advanced_at) = (self.page_len, self.advanced_at);
+        *self = Listing { page_len, advanced_at, ..Listing::default() };
     }
 }
--- a/crates/basilhaven/src/gateway/memory.rs
+++ b/crates/basilhaven/src/gateway/memory.rs
@@ -260,6 +260,11 @@
         Share { budget: Rc::clone(self), holder }
     }
 
+    /// Registers the holder of a response, which holds nothing yet.
+    pub fn response_share(self: &Rc<Budget>) -> Share {
+        self.share(Purpose::Response, Phase::Serving, Instant::now())
+    }
+
     /// Accepts a connection, once there is room for it. Returns `None` if it is to be closed.
     pub async fn accept(self: &Rc<Budget>, stream: &impl AsRawFd) -> Option<Share> {
         let fd = usize::try_from(stream.as_raw_fd()).unwrap_or_default();
@@ -441,15 +446,17 @@
     }
 
     /// Counts what a connection holds that carries a long response: its read buffer, and what the
-    /// operating system receives before it is read, which is limited.
-    pub fn add_connection(&self, conn: &http1::Conn, now: Instant) {
+    /// operating system receives before it is read, which is limited. Returns how many bytes that is.
+    pub fn add_connection(&self, conn: &http1::Conn, now: Instant) -> usize {
         let received = self.budget.response_receive_len().unwrap_or_default();
         if received > 0 {
             // Fails only if the connection has ended, which the next read tells.
             let _ = conn.limit_receive_buffer(received);
         }
         // The operating system allows for as much again.
-        self.add_held(conn.next_buffer_len() + 2 * received, now);
+        let len = conn.next_buffer_len() + 2 * received;
+        self.add_held(len, now);
+        len
     }
 
     /// Returns the bytes that the holder holds.
--- a/crates/basilhaven/src/gateway/updates.rs
+++ b/crates/basilhaven/src/gateway/updates.rs
@@ -270,8 +270,8 @@
             return;
         }
         let items: Vec<store::Change> = items.into_iter().map(store::Change::checked).collect();
-        if is_snapshot {
-            self.listings.borrow_mut().swap_remove(&feed);
+        if let (true, Some(listing)) = (is_snapshot, self.listings.borrow_mut().get_mut(&feed)) {
+            listing.restart();
         }
         match is_snapshot {
             true if journal.is_restored_by(revision) => {
@@ -677,7 +677,9 @@
                 if !replica.members.watchers(now).is_watcher && replica.config.is_complete() {
                     return Ok(());
                 }
-                monoio::time::sleep(timing.interval).await;
+                // After a long read the next one is due earlier.
+                let read_time = began_at.map_or(Duration::ZERO, |at| now - at);
+                monoio::time::sleep(timing.interval.saturating_sub(read_time)).await;
                 // A host that is not a watcher reads each feed once, and waits here until it has
                 // read all feeds.
                 while !replica.members.watchers(Instant::now()).is_watcher && replica.is_unsynced()
--- a/crates/basilhaven/src/http1/body.rs
+++ b/crates/basilhaven/src/http1/body.rs
@@ -142,9 +142,7 @@
     fn decode_chunks(&mut self, buffer: &mut BytesMut) -> Result<Decoded, Error> {
         let mut joined = Vec::new();
         let mut at = 0;
-        while let State::Chunk(_) | State::ChunkSize | State::ChunkEnd | State::Trailer { .. } =
-            self.state
-        {
+        while self.state != State::Done {
             let rest = &buffer[at..];
             if let State::Chunk(left) = self.state {
                 let len = usize::try_from(left).unwrap_or(usize::MAX).min(rest.len());
--- a/crates/basilhaven/tests/gateway/listing.rs
+++ b/crates/basilhaven/tests/gateway/listing.rs
@@ -54,6 +54,21 @@
     assert_eq!(listing.request().max_rows, longest);
 }
 
+// Guards against a list that counts as old when it is read, as the store was away before.
+#[test]
+fn the_time_of_a_read_begins_with_the_first_page_that_arrives() {
+    let mut listing = Listing::default();
+    listing.request();
+    std::thread::sleep(Duration::from_millis(20));
+    listing.record_failure();
+    let requested_at = Instant::now();
+    listing.request();
+    let all = listing.add(page(1, None, false), Instant::now()).unwrap().expect("the last page");
+    assert!(all.began_at >= requested_at);
+    // The last page, too, shows that the store responds.
+    assert!(listing.idle_time(Instant::now()) < Duration::from_secs(1));
+}
+
 #[test]
 fn pages_from_before_and_after_a_restore_are_not_mixed() {
     let (mut listing, now) = (Listing::default(), Instant::now());
