Leave the time of failed calls out of the latency of versions

Operators saw: a good version was rolled back as slow ("slow answers: 0.082 against 0.021") while the old one failed half of its calls at once. A slow version could pass while calls of the old one hung.

Cause: mean latencies were taken over all calls. A failed one takes some milliseconds or all of its time, whatever the version.

Change: only calls that have not failed are timed.

The new test of `history` fails without it.

--- a/crates/basilhaven/src/gateway/moves/evidence.rs
+++ b/crates/basilhaven/src/gateway/moves/evidence.rs
@@ -23,7 +23,7 @@
 const PRIOR_RESPONSES: f64 = 10.0;
 const PRIOR_FAILURE_SHARE: f64 = 0.03;
 
-/// Responses of both versions that are required to compare their latency, and the ratio of the mean
+/// Successful responses of both versions that are required to compare their latency, and the ratio of the mean
 /// latencies above which the new version has a regression.
 const MIN_TIMED_RESPONSES: u32 = 6;
 const SLOW_RATIO: f64 = 2.5;
@@ -45,7 +45,8 @@
     pub responses: u32,
     /// Failed responses, and calls without a response.
     pub failed: u32,
-    /// Total latency in seconds, with the latency of each call divided by the cost of its upstream.
+    /// Total latency of the calls that have not failed, in seconds, with the latency of each divided by
+    /// the cost of its upstream.
     pub seconds: f32,
 }
 
@@ -54,9 +55,13 @@
     ///
     /// The latency is divided by the cost, because the part that the cost predicts does not depend
     /// on the version: the upstreams of a new version are idle while those of the old version are
-    /// busy, which would hide that the new version is slow.
+    /// busy, which would hide that the new version is slow. The latency of a failed call is left out:
+    /// many fail at once, or after their whole time.
     pub fn single(has_failed: bool, cost: f64, took: Duration) -> Count {
-        let seconds = (took.as_secs_f64() / cost.max(1.0)) as f32;
+        let seconds = match has_failed {
+            true => 0.0,
+            false => (took.as_secs_f64() / cost.max(1.0)) as f32,
+        };
         Count { responses: 1, failed: u32::from(has_failed), seconds }
     }
 
@@ -80,8 +85,13 @@
         f64::from(self.failed) / f64::from(self.responses.max(1))
     }
 
+    /// Returns the number of responses that have not failed.
+    fn succeeded(&self) -> u32 {
+        self.responses.saturating_sub(self.failed)
+    }
+
     fn mean_seconds(&self) -> f64 {
-        f64::from(self.seconds) / f64::from(self.responses.max(1))
+        f64::from(self.seconds) / f64::from(self.succeeded().max(1))
     }
 }
 
@@ -161,10 +171,10 @@
     }
 
     /// Returns whether the new version took longer than `expected_seconds` explain, given so many
-    /// responses of each version.
+    /// successful responses of each version.
     fn takes_longer(&self, expected_seconds: f64, min_responses: u32) -> bool {
-        let floor = MIN_MEAN_SECONDS * f64::from(self.new.responses);
-        self.new.responses.min(self.old.responses) >= min_responses
+        let floor = MIN_MEAN_SECONDS * f64::from(self.new.succeeded());
+        self.new.succeeded().min(self.old.succeeded()) >= min_responses
             && f64::from(self.new.seconds) > SLOW_RATIO * expected_seconds.max(floor)
     }
 }
@@ -310,10 +320,10 @@
         let mean = self.total.old.mean_seconds();
         let by_route = self.routes.values().map(|pair| {
             let seconds = f64::from(pair.old.seconds) + mean * PRIOR_TIMED_RESPONSES;
-            let responses = f64::from(pair.old.responses) + PRIOR_TIMED_RESPONSES;
-            seconds / responses * f64::from(pair.new.responses)
+            let responses = f64::from(pair.old.succeeded()) + PRIOR_TIMED_RESPONSES;
+            seconds / responses * f64::from(pair.new.succeeded())
         });
-        by_route.sum::<f64>().max(mean * f64::from(self.total.new.responses))
+        by_route.sum::<f64>().max(mean * f64::from(self.total.new.succeeded()))
     }
 }
 
@@ -398,7 +408,7 @@
     if pair.fails_more(pair.expected_share(prior) * f64::from(pair.new.responses)) {
         return Some(Regression::new(Fault::Failures, scope(), pair));
     }
-    let expected = pair.old.mean_seconds() * f64::from(pair.new.responses);
+    let expected = pair.old.mean_seconds() * f64::from(pair.new.succeeded());
     let is_slow = pair.takes_longer(expected, MIN_TIMED_RESPONSES);
     is_slow.then(|| Regression::new(Fault::Slow, scope(), pair))
 }
--- a/crates/basilhaven/tests/gateway/history.rs
+++ b/crates/basilhaven/tests/gateway/history.rs
@@ -17,6 +17,9 @@
 const DURATION_S: f64 = 16.0;
 const SIMULATED_S: f64 = 30.0;
 
+/// The latency of calls.
+const LATENCY: Duration = Duration::from_millis(90);
+
 /// Interval at which the coordinator checks a move.
 const CHECK_INTERVAL_S: f64 = 0.15;
 
@@ -32,6 +35,10 @@
     new_failures: (f64, f64),
     /// The share of routes on which every call fails, whatever the version.
     broken_routes: f64,
+    /// The time that failed calls take.
+    failure_time: Duration,
+    /// The latency of the new version, as a multiple of that of the old one.
+    new_slowdown: f64,
     /// When another host becomes the coordinator, which has looked at no evidence before.
     takeover: Option<f64>,
 }
@@ -44,6 +51,8 @@
             affects_new: true,
             new_failures: (0.0, 0.0),
             broken_routes: 0.0,
+            failure_time: LATENCY,
+            new_slowdown: 1.0,
             takeover: None,
         }
     }
@@ -136,7 +145,11 @@
         let is_bad = is_new && now >= since && random.f64() < new_share;
         let is_broken = (number as f64) < load.broken_routes * routes.len() as f64;
         let has_failed = is_hit || is_bad || is_broken;
-        let count = Count::single(has_failed, 1.0, Duration::from_millis(90));
+        let took = match has_failed {
+            true => load.failure_time,
+            false => LATENCY.mul_f64(if is_new { load.new_slowdown } else { 1.0 }),
+        };
+        let count = Count::single(has_failed, 1.0, took);
         entry.record(&SERVICE.into(), &routes[number], if is_new { "v2" } else { "v1" }, count);
         course.calls += u32::from(now < DURATION_S);
         course.new_calls += u32::from(is_new && now < DURATION_S);
@@ -254,3 +267,21 @@
         }
     }
 }
+
+// Guards against a good version that counts as slow, as the failed calls of the old one are fast, and
+// against a slow one that does not, as they take long.
+#[test]
+fn the_time_that_failed_calls_take_says_nothing_of_the_latency_of_a_version() {
+    let fault = (0.55, vec![-1.0..f64::MAX]);
+    let failure_time = Duration::from_millis(4);
+    let good = Load { fault, affects_new: false, failure_time, ..Load::default() };
+    let fault = (0.55, vec![0.5..9.0]);
+    let failure_time = Duration::from_millis(1000);
+    let slow = Load { fault, failure_time, new_slowdown: 4.0, ..Load::default() };
+    for seed in 0..40 {
+        let course = play(&good, seed);
+        assert!(course.is(Stage::Completed), "seed {seed}: {course:?}");
+        let course = play(&slow, seed);
+        assert!(course.is(Stage::RolledBack), "seed {seed}: {course:?}");
+    }
+}
