Keep a move suspended for a second at least

Cause: the share of failures of the old version varies around the bound, and a move was resumed at the first check below it.

Change: a move is resumed no sooner than a second after it was suspended. The new test of `history` fails without it (suspended for 0.45 s).

--- a/crates/basilhaven/src/gateway/moves.rs
+++ b/crates/basilhaven/src/gateway/moves.rs
@@ -81,6 +81,10 @@
 /// still runs can end.
 const MIN_FULL_TIME: Duration = Duration::from_millis(1300);
 
+/// Minimum time for which a move stays suspended. The failures of the old version vary, and each
+/// resumption is a write to the store.
+const MIN_SUSPENSION: Duration = Duration::from_secs(1);
+
 /// Responses of the new version that are required before a move leaves its trial.
 const MIN_TRIAL_RESPONSES: u32 = 8;
 
@@ -185,7 +189,8 @@
         None => return Decision::Suspend,
     };
     if step.halted {
-        return if findings.is_settled { Decision::Resume } else { Decision::Wait };
+        let is_due = findings.is_settled && since_step >= MIN_SUSPENSION;
+        return if is_due { Decision::Resume } else { Decision::Wait };
     }
     let responses = evidence.total().new.responses;
     let stage_length = order.duration.mul_f64(STAGE_LENGTH);
--- a/crates/basilhaven/tests/gateway/history.rs
+++ b/crates/basilhaven/tests/gateway/history.rs
@@ -63,8 +63,10 @@
 struct Course {
     /// The last stage, and when it was reached.
     stage: Option<(Stage, f64)>,
-    /// How often the move was suspended.
+    /// How often the move was suspended, since when it is, and the times for which it was.
     suspensions: u32,
+    suspended_at: Option<f64>,
+    suspended_for: Vec<f64>,
     /// Calls until the end of the move's duration: all of them, and those to the new version.
     calls: u32,
     new_calls: u32,
@@ -176,6 +178,8 @@
         Decision::RollBack(_) => (Stage::RolledBack, false),
     };
     course.suspensions += u32::from(halted);
+    let suspended_at = std::mem::replace(&mut course.suspended_at, halted.then_some(now));
+    course.suspended_for.extend(suspended_at.map(|at| now - at));
     course.stage = Some((stage, now));
     let written = u64::from(!halted);
     let revision = Revision::from(step.revision.number + written);
@@ -285,3 +289,15 @@
         assert!(course.is(Stage::RolledBack), "seed {seed}: {course:?}");
     }
 }
+
+#[test]
+fn a_move_does_not_alternate_while_the_failures_of_the_old_version_vary() {
+    for share in [0.12, 0.16, 0.2] {
+        let load = Load { fault: (share, vec![0.5..12.0]), ..Load::default() };
+        for seed in 0..40 {
+            let course = play(&load, seed);
+            let is_long = |time: &f64| *time >= 1.0;
+            assert!(course.suspended_for.iter().all(is_long), "{share}, seed {seed}: {course:?}");
+        }
+    }
+}
