--- a/crates/basilhaven/src/gateway/moves/evidence.rs
+++ b/crates/basilhaven/src/gateway/moves/evidence.rs
@@ -23,8 +23,8 @@
 const PRIOR_RESPONSES: f64 = 10.0;
 const PRIOR_FAILURE_SHARE: f64 = 0.03;
 
-/// Successful responses of both versions that are required to compare their latency, and the ratio of the mean
-/// latencies above which the new version has a regression.
+/// Successful responses of both versions that are required to compare their latency, and the ratio
+/// of the mean latencies above which the new version has a regression.
 const MIN_TIMED_RESPONSES: u32 = 6;
 const SLOW_RATIO: f64 = 2.5;
 
@@ -45,8 +45,8 @@
     pub responses: u32,
     /// Failed responses, and calls without a response.
     pub failed: u32,
-    /// Total latency of the calls that have not failed, in seconds, with the latency of each divided by
-    /// the cost of its upstream.
+    /// Total latency of the calls that have not failed, in seconds, with the latency of each divided
+    /// by the cost of its upstream.
     pub seconds: f32,
 }
 
@@ -71,8 +71,8 @@
         self.seconds += other.seconds;
     }
 
-    /// Returns the part of this count that came after `earlier`. What a host had counted before it was
-    /// restarted is missing from later counts; it is left out.
+    /// Returns the part of this count that came after `earlier`. It is too small if a host has been
+    /// restarted in between, as a host begins to count anew.
     pub(super) fn since(&self, earlier: &Count) -> Count {
         Count {
             responses: self.responses.saturating_sub(earlier.responses),
--- a/crates/basilhaven/src/gateway/moves/history.rs
+++ b/crates/basilhaven/src/gateway/moves/history.rs
@@ -56,8 +56,8 @@
 pub struct History {
     /// The looks that the window needs, oldest first.
     looks: VecDeque<(Instant, evidence::Combined)>,
-    /// When this host began to look without a pause.
-    since: Option<Instant>,
+    /// The first look since the last pause, and the newest look.
+    first_look: Option<Instant>,
     last_look: Option<Instant>,
     /// The evidence when the old version was last failing.
     baseline: Option<evidence::Combined>,
@@ -104,7 +104,7 @@
     pub fn look(&mut self, all: evidence::Combined, now: Instant) -> Findings {
         if self.last_look.is_none_or(|at| now.saturating_duration_since(at) > MAX_PAUSE) {
             self.looks.clear();
-            self.since = Some(now);
+            self.first_look = Some(now);
         }
         self.last_look = Some(now);
         self.remove_unneeded(&all, now);
@@ -125,8 +125,8 @@
             since.set_recent(&window);
             since
         });
-        let followed = self.since.map(|since| now.saturating_duration_since(since));
-        let is_settled = followed.is_some_and(|time| time >= WINDOW);
+        let is_settled =
+            self.first_look.is_some_and(|at| now.saturating_duration_since(at) >= WINDOW);
         Findings { all, since_recovery, is_old_failing, is_settled }
     }
 
@@ -149,7 +149,10 @@
 /// Returns whether the old version fails too many of the calls in `window` for a comparison, apart
 /// from routes that fail whatever the version.
 fn is_old_failing(window: &evidence::Combined, all: &evidence::Combined) -> bool {
-    let of_all_routes = window.total().old;
+    let old = window.total().old;
+    if old.failed < MIN_OLD_FAILURES {
+        return false;
+    }
     let is_broken = |route: &str| {
         all.routes().get(route).is_some_and(|pair| {
             pair.old.responses >= MIN_ROUTE_RESPONSES
@@ -157,11 +160,8 @@
         })
     };
     let broken = window.routes().iter().filter(|(route, _)| is_broken(route));
-    let others = broken.fold(of_all_routes, |others, (_, pair)| others.since(&pair.old));
-    if of_all_routes.failed < MIN_OLD_FAILURES {
-        return false;
-    }
+    let elsewhere = broken.fold(old, |others, (_, pair)| others.since(&pair.old));
     // If most calls go to broken routes, it is the version that fails.
-    others.responses < of_all_routes.responses / 2
-        || (others.failed >= MIN_OLD_FAILURES && others.failure_share() >= FAILING_SHARE)
+    elsewhere.responses < old.responses / 2
+        || (elsewhere.failed >= MIN_OLD_FAILURES && elsewhere.failure_share() >= FAILING_SHARE)
 }
