Test the window of a small service and a change of coordinators

Both guards were untested: with the constant or the condition taken away no test failed. Each new test of `history` fails then.

--- a/crates/basilhaven/tests/gateway/history.rs
+++ b/crates/basilhaven/tests/gateway/history.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use basilhaven::gateway::moves::evidence::Count;
+use basilhaven::gateway::moves::evidence::{Combined, Count, Pair};
+use basilhaven::gateway::moves::history::History;
 use basilhaven::gateway::moves::{decide, Decision, Moves, Order, Stage, Step};
 use basilhaven::gateway::store::Revision;
 
@@ -301,3 +302,44 @@
         }
     }
 }
+
+/// All evidence at a moment, if the old version has had these responses.
+fn old_version(responses: u32, failed: u32) -> Combined {
+    let old = Count { responses, failed, seconds: 0.0 };
+    [("r".into(), Pair { old, ..Pair::default() })].into_iter().collect()
+}
+
+// Guards against a window in which too few calls of a small service end to tell.
+#[test]
+fn the_old_version_of_a_service_with_few_calls_is_seen_to_fail() {
+    let (mut history, start) = (History::default(), Instant::now());
+    let mut is_failing = false;
+    // Two calls a second, one of which fails.
+    for second in 0..16 {
+        for part in 0..4 {
+            let at = start + Duration::from_millis(second * 1000 + part * 250);
+            let responses = 2 * second as u32;
+            is_failing = history.look(old_version(responses, responses / 2), at).is_old_failing;
+        }
+        assert_eq!(is_failing, second >= 4, "second {second}");
+    }
+}
+
+// Guards against a coordinator that resumes a move that another one has halted, before the evidence
+// of the other hosts has arrived.
+#[test]
+fn a_host_that_has_just_become_the_coordinator_does_not_resume_a_halted_move() {
+    let (mut history, start) = (History::default(), Instant::now());
+    let halted = Step { halted: true, ..first_step() };
+    let since = Duration::from_secs(5);
+    let mut decide_at = |ms: u64| {
+        let findings = history.look(old_version(100, 0), start + Duration::from_millis(ms));
+        decide(&order(), &halted, since, since, &findings)
+    };
+    for ms in (0..1000).step_by(150) {
+        assert_eq!(decide_at(ms), Decision::Wait, "{ms} ms after the first check");
+    }
+    assert_eq!(decide_at(1050), Decision::Resume);
+    // It was another host's turn in between.
+    assert_eq!(decide_at(4000), Decision::Wait);
+}
