--- a/review/standin-3/crowd.rs
+++ b/review/standin-3/crowd.rs
@@ -15,9 +15,9 @@
 const MEMORY: u64 = 260 * 1024 * 1024;
 
 /// Clients of a crowd; the daemon itself lets in 2,925 under `MaxFds` 4,100.
-const CLIENTS: usize = 2400;
+const CLIENTS: usize = 2800;
 /// Length of their bodies; `MaxBodyBytes` is 64 MiB.
-const BODY_LEN: usize = 512 * 1024;
+const BODY_LEN: usize = 128 * 1024;
 /// One client in so many sends its whole body.
 const WHOLE: usize = 8;
 
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -3,6 +3,7 @@
 mod common;
 mod crowd;
 mod flood;
+mod full;
 mod promise;
 
 fn main() {
@@ -12,6 +13,7 @@
     let is_broken = match &*case {
         "crowd" => crowd::run(&record),
         "flood" => flood::run(&record),
+        "full" => full::run(&record),
         "promise" => promise::run(&record),
         other => common::fail(&format!("no case {other}")),
     };
