--- a/review/standin-3/full.rs
+++ b/review/standin-3/full.rs
@@ -41,7 +41,7 @@
         })
         .collect();
     thread::sleep(CROWD_AT);
-    let crowd = thread::spawn(move || crowd(callers));
+    let crowd = thread::spawn(move || crowd(callers, true, CHUNKS));
     // The platform's own check, once a second.
     let mut unready = Vec::new();
     while started.elapsed() < DAY {
@@ -98,21 +98,24 @@
     }
 }
 
-/// Opens all connections, and sends the bodies without their last chunk, which is empty.
-fn crowd(callers: SocketAddr) {
+/// Opens all connections, and sends the bodies without their last chunk, which is empty: all together
+/// once all are connected, or each client as soon as it is. A body has so many chunks.
+pub fn crowd(callers: SocketAddr, together: bool, chunks: usize) {
     let start = Arc::new(Barrier::new(CROWD));
     let clients: Vec<_> = (0..CROWD)
         .map(|client| {
             let start = Arc::clone(&start);
             let work = move || {
                 let stream = TcpStream::connect(callers);
-                start.wait();
+                if together {
+                    start.wait();
+                }
                 let Ok(mut stream) = stream else { return };
                 let _ = stream.set_write_timeout(Some(Duration::from_secs(5)));
                 if with_trouble() {
                     let field = "Transfer-Encoding: chunked\r\n";
                     let head = request_head("POST", "/unsafe/a", &format!("c-{client}"), 1000, field);
-                    let _ = stream.write_all((head + &CHUNK.repeat(CHUNKS)).as_bytes());
+                    let _ = stream.write_all((head + &CHUNK.repeat(chunks)).as_bytes());
                     thread::sleep(Duration::from_secs(8));
                 }
             };
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -5,6 +5,7 @@
 mod flood;
 mod full;
 mod promise;
+mod reader;
 
 fn main() {
     let mut arguments = std::env::args().skip(1);
@@ -15,6 +16,7 @@
         "flood" => flood::run(&record),
         "full" => full::run(&record),
         "promise" => promise::run(&record),
+        "reader" => reader::run(&record),
         other => common::fail(&format!("no case {other}")),
     };
     record.line(if is_broken { "the rule is broken" } else { "the rule held" });
