--- a/review/run-case-3.sh
+++ b/review/run-case-3.sh
@@ -8,6 +8,12 @@
         exit 2
     fi
 done
+# The crowds of three cases, and the daemon beside them, need more descriptors than many shells allow.
+ulimit -Sn 10000 2>/dev/null
+if [ "$(ulimit -Sn)" != unlimited ] && [ "$(ulimit -Sn)" -lt 8000 ]; then
+    echo "the limit on descriptors is $(ulimit -Sn)" >&2
+    exit 2
+fi
 timeout -k 2 115 target/review-3/cases "$1" "$2/record.txt"
 case $? in
     0) exit 0 ;;
--- a/review/standin-3/common.rs
+++ b/review/standin-3/common.rs
@@ -491,6 +491,7 @@
 
 impl Drop for Daemon {
     fn drop(&mut self) {
+        STARTED.lock().unwrap().retain(|process| *process != self.child.id());
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.log);
@@ -549,6 +550,7 @@
         command.stdin(Stdio::null()).stderr(Stdio::null());
         command.stdout(File::create(&log).expect("a temporary file"));
         let child = command.spawn().unwrap_or_else(|error| fail(&format!("no daemon: {error}")));
+        STARTED.lock().unwrap().push(child.id());
         let address = |number: usize| at(number).parse().expect("an address");
         Daemon {
             child,
@@ -582,9 +584,15 @@
     }
 }
 
-/// Ends a case that could not run.
+/// The daemons that were started, by process id.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends a case that could not run, and the daemons that it has started.
 pub fn fail(why: &str) -> ! {
     eprintln!("the case could not run: {why}");
+    for process in STARTED.lock().map(|started| started.clone()).unwrap_or_default() {
+        let _ = Command::new("kill").args(["-9", &process.to_string()]).status();
+    }
     std::process::exit(2)
 }
 
