--- a/review/standin-3/common.rs
+++ b/review/standin-3/common.rs
@@ -502,7 +502,9 @@
 /// outgoing connections.
 pub fn free_port(ips: &[&str]) -> u16 {
     static NEXT: AtomicU16 = AtomicU16::new(0);
-    let first = (std::process::id() % 10_000) as u16;
+    // Two cases that run side by side begin at different ports.
+    let nanos = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.subsec_nanos());
+    let first = ((nanos / 1000).wrapping_add(std::process::id().wrapping_mul(7919)) % 10_000) as u16;
     let is_free = |port: &u16| {
         let is_free = |ip: &&str| -> bool {
             TcpListener::bind((*ip, *port)).is_ok() && UdpSocket::bind((*ip, *port)).is_ok()
