Never forward an upstream's refusal of an at-most-once call that it ran

Callers of at-most-once calls got an upstream's own 503, 429 or 408 for calls that it had run.

Cause: to a host only the mark of "not run" proves anything, and attempt::inspect kept to that. To a caller the status itself is the promise, and the status of every valid response was forwarded.

Change: reply::Reply is what a caller is told, and its Answer cannot hold such a status for an at-most-once call: the caller gets 502 without the upstream's signature, and refusal_withheld names both statuses. All ways to a caller pass there: the four statuses, short, long, cut and endless bodies, and responses that come through another host, also one of an earlier build. A host to which a call is passed withholds too, for a first host of an earlier build. A passed-on call whose end is not told can no more end with 503.

--- a/crates/basilhaven-bench/src/soak/plan.rs
+++ b/crates/basilhaven-bench/src/soak/plan.rs
@@ -4,7 +4,7 @@
 
 use super::proxy::Link;
 use crate::standin::users::store;
-use crate::standin::users::upstream::Behaviour;
+use crate::standin::users::upstream::{Behaviour, Content};
 
 /// The range of a fault's duration, in milliseconds.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 200..3_500;
@@ -25,6 +25,10 @@
 /// calls away for a time, in milliseconds.
 const MEAN_CUT_INTERVAL_MS: u64 = 2_500;
 
+/// The mean interval between two upstreams that fail calls with statuses of refusals, in
+/// milliseconds.
+const MEAN_REFUSAL_INTERVAL_MS: u64 = 2_500;
+
 /// The time for which an upstream that turns calls away wants nothing, in seconds.
 pub const BUSY_TIME: &str = "1.5";
 
@@ -125,6 +129,10 @@
     add_faults(random, MEAN_CUT_INTERVAL_MS, duration, &mut steps, |random, add| {
         add_cut(random, size, add);
     });
+    let random = fastrand::Rng::with_seed(seed.rotate_left(16) ^ 2);
+    add_faults(random, MEAN_REFUSAL_INTERVAL_MS, duration, &mut steps, |random, add| {
+        add_refusals(random, size, add);
+    });
     steps.sort_by_key(|event| event.at);
     steps
 }
@@ -202,6 +210,18 @@
     }
 }
 
+/// Adds the steps of an upstream that runs calls and fails them with the status of a refusal.
+fn add_refusals<F>(random: &mut fastrand::Rng, size: Size, mut add: F)
+where
+    F: FnMut(bool, Step),
+{
+    let upstream = random.usize(0..2 * size.upstreams);
+    let status = [408, 429, 503][random.usize(0..3)];
+    let content = [Content::Short, Content::Long, Content::Truncated][random.usize(0..3)];
+    add(false, Step::Upstream(upstream, Behaviour::FailsWith(status, content)));
+    add(true, Step::Upstream(upstream, DEFAULT_BEHAVIOUR));
+}
+
 /// Adds the steps of one random fault: those at its start and, if it has an end, those at its end.
 /// The flag passed to `add` is set for the steps at the end.
 fn add_fault<F>(random: &mut fastrand::Rng, size: Size, mut add: F)
--- a/crates/basilhaven-bench/src/standin/users/mod.rs
+++ b/crates/basilhaven-bench/src/standin/users/mod.rs
@@ -46,7 +46,7 @@
 }
 
 /// Reads the next request of a connection; returns `None` when the client has closed it.
-fn read_request(stream: &mut TcpStream) -> io::Result<Option<Request>> {
+pub fn read_request(stream: &mut TcpStream) -> io::Result<Option<Request>> {
     let mut head = Vec::new();
     let mut byte = [0];
     while !head.ends_with(b"\r\n\r\n") {
@@ -77,7 +77,7 @@
 }
 
 /// Writes a response with `content-length`.
-fn write_response(
+pub fn write_response(
     stream: &mut TcpStream,
     status: u16,
     headers: &[(&str, &str)],
--- a/crates/basilhaven-bench/src/standin/users/upstream.rs
+++ b/crates/basilhaven-bench/src/standin/users/upstream.rs
@@ -19,6 +19,9 @@
 /// Marks the response to a call that was not executed.
 const REJECTION: (&str, &str) = ("x-basilhaven-not-executed", "1");
 
+/// Length in bytes of a body that a host does not buffer as a whole.
+const LONG_LEN: usize = 1024 * 1024;
+
 /// How long after a response an upstream begins to send bytes on the idle connection.
 const IDLE_TIME: Duration = Duration::from_millis(50);
 
@@ -45,6 +48,8 @@
     OmitsSignature,
     /// Executes calls and responds with status 500.
     Fails,
+    /// Executes calls and responds with this status, and does not mark them as not executed.
+    FailsWith(u16, Content),
     /// Executes calls and responds to every second one with status 500.
     FailsEverySecond,
     /// Rejects calls with status 503 and marks them as not executed.
@@ -71,6 +76,19 @@
     Nothing,
 }
 
+/// The body of a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Content {
+    /// A few bytes.
+    Short,
+    /// More bytes than a host buffers.
+    Long,
+    /// Half of a long body; the connection is closed then.
+    Truncated,
+    /// Chunks without end.
+    Endless,
+}
+
 /// The part of a response that never ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Endless {
@@ -446,6 +464,11 @@
                 write_response(stream, 200, &[(REQUEST_ID, &*id)], &body)?;
             }
             Behaviour::Fails => write_response(stream, 500, &signed, b"failed")?,
+            Behaviour::FailsWith(status, content) => {
+                let retry_after = self.lock().retry_after.clone();
+                signed.extend(retry_after.as_deref().map(|seconds| ("retry-after", seconds)));
+                return write_content(stream, status, &signed, content);
+            }
             Behaviour::FailsEverySecond => {
                 let status = if self.lock().executions.len().is_multiple_of(2) { 500 } else { 200 };
                 write_response(stream, status, &signed, &body)?;
@@ -483,6 +506,33 @@
     }
 }
 
+/// Sends a response with this kind of body, and returns whether the connection stays open.
+fn write_content(
+    stream: &mut TcpStream,
+    status: u16,
+    headers: &[(&str, &str)],
+    content: Content,
+) -> io::Result<bool> {
+    let (framing, len) = match content {
+        Content::Short => {
+            write_response(stream, status, headers, b"failed")?;
+            return Ok(true);
+        }
+        Content::Long => (format!("content-length: {LONG_LEN}"), LONG_LEN),
+        Content::Truncated => (format!("content-length: {LONG_LEN}"), LONG_LEN / 2),
+        Content::Endless => ("transfer-encoding: chunked".to_owned(), 0),
+    };
+    let fields: String =
+        headers.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
+    let head = format!("HTTP/1.1 {status} -\r\n{framing}\r\n{fields}\r\n");
+    stream.write_all(head.as_bytes())?;
+    if content == Content::Endless {
+        send_without_end(stream, endless_chunks().as_bytes(), Duration::ZERO)?;
+    }
+    stream.write_all(&vec![b'x'; len])?;
+    Ok(content == Content::Long)
+}
+
 /// Sends bytes until the caller closes the connection, which ends in a write error.
 fn send_without_end(stream: &mut TcpStream, bytes: &[u8], interval: Duration) -> io::Result<()> {
     loop {
--- a/crates/basilhaven-bench/tests/gateway/access.rs
+++ b/crates/basilhaven-bench/tests/gateway/access.rs
@@ -2,12 +2,11 @@
 //! organisation and never its key, and that changes of keys take effect on all hosts.
 
 use std::io::{self, Read as _, Write as _};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use basilhaven::gateway::cluster::{datagram, Members, Record, State};
 use basilhaven::gateway::config::Sighting;
 use basilhaven::gateway::store::{Change, Era, Feed, Revision};
 use basilhaven::gateway::{access, relay};
@@ -24,7 +23,7 @@
 use serde_json::{json, Value};
 
 use crate::fixture::{
-    self, receive, wait_until, Fixture, Host, Network, NO_RETRIES, PROMPT, SERVICE,
+    self, receive, send_heartbeats, wait_until, Fixture, Host, Network, NO_RETRIES, PROMPT, SERVICE,
 };
 
 /// The time within which a version must be in force on all hosts.
@@ -631,20 +630,7 @@
                 let _ = served.serve_follower(stream);
             }
         });
-        std::thread::spawn(move || {
-            let socket = UdpSocket::bind(own).expect("a free port");
-            let record = Record { peer: own, callers: own, data_centre: "a".into() };
-            let members = Members::new(&record, 1, Instant::now());
-            members.set_state(State::Ready);
-            loop {
-                let (heartbeats, _) = members.next_heartbeat(Instant::now());
-                let frame = datagram::Frame::Heartbeats(heartbeats, Vec::new());
-                let bytes = datagram::encode(&frame).expect("plain data");
-                // The other host listens only once it has started.
-                let _ = socket.send_to(&bytes, other);
-                std::thread::sleep(Duration::from_millis(50));
-            }
-        });
+        send_heartbeats(own, other);
         host
     }
 
--- a/crates/basilhaven-bench/tests/gateway/fixture.rs
+++ b/crates/basilhaven-bench/tests/gateway/fixture.rs
@@ -1,8 +1,9 @@
 //! The test fixture: a store, upstreams, one host, and helpers.
 
-use std::net::Ipv4Addr;
-use std::time::Duration;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::time::{Duration, Instant};
 
+use basilhaven::gateway::cluster::{datagram, Members, Record, State};
 pub use basilhaven_bench::gateway::{
     config, config_with, free_peer_port, receive, send, wait_until, Host, SERVICE,
 };
@@ -90,3 +91,21 @@
 pub fn know_each_other(hosts: &[Host]) -> bool {
     hosts.iter().all(|host| host.live_hosts() == Some(hosts.len()))
 }
+
+/// Sends the heartbeats of a host that is ready to another host, until the process ends.
+pub fn send_heartbeats(own: SocketAddr, other: SocketAddr) {
+    std::thread::spawn(move || {
+        let socket = UdpSocket::bind(own).expect("a free port");
+        let record = Record { peer: own, callers: own, data_centre: "a".into() };
+        let members = Members::new(&record, 1, Instant::now());
+        members.set_state(State::Ready);
+        loop {
+            let (heartbeats, _) = members.next_heartbeat(Instant::now());
+            let frame = datagram::Frame::Heartbeats(heartbeats, Vec::new());
+            let bytes = datagram::encode(&frame).expect("plain data");
+            // The other host listens only once it has started.
+            let _ = socket.send_to(&bytes, other);
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    });
+}
--- a/crates/basilhaven-bench/tests/gateway/main.rs
+++ b/crates/basilhaven-bench/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod passed_on;
 mod pauses;
 mod pipelining;
+mod refusals;
 mod responses;
 mod restore;
 mod room;
--- a/crates/basilhaven-bench/tests/gateway/passed_on.rs
+++ b/crates/basilhaven-bench/tests/gateway/passed_on.rs
@@ -8,7 +8,7 @@
 use basilhaven_bench::gateway::Response;
 use basilhaven_bench::standin::block_on;
 use basilhaven_bench::standin::users::store::Store;
-use basilhaven_bench::standin::users::upstream::{Behaviour, Echo, Upstream};
+use basilhaven_bench::standin::users::upstream::{Behaviour, Content, Echo, Upstream};
 
 use crate::fixture::{config, config_with, receive, Network, NO_RETRIES, SERVICE};
 
@@ -66,6 +66,23 @@
     check_second_time(62, |_| String::new());
 }
 
+// Guards against an upstream's own 503 that reaches a host of an earlier build, which sends it to
+// its caller as a promise that the call has not run.
+#[test]
+fn a_call_that_ran_is_not_refused_to_the_host_that_passed_it_on() {
+    block_on(async {
+        let store = Store::start();
+        store.put("op", "config", &config(1, SERVICE));
+        let upstream = Upstream::start("i-0", Behaviour::FailsWith(503, Content::Short));
+        store.put("servers", &upstream.id, &upstream.entry(SERVICE, "v1", "ready"));
+        let network = Network::new(184, 1);
+        let _hosts = network.start_all(&store, &NO_RETRIES).await;
+        let response = pass_on(&mut connect(&network), "id-1", 2, "basilhaven-tried: \r\n");
+        assert_eq!((response.status, upstream.executed_ids().len()), (502, 1), "{}", response.head);
+        assert!(response.head.contains("basilhaven-result: answered"), "{}", response.head);
+    });
+}
+
 // Guards against a 413 that does not say that the call has ended: the host that passed the call on
 // took it for an unknown end, and its caller got a 502.
 #[test]
--- a/crates/basilhaven/src/gateway/attempt.rs
+++ b/crates/basilhaven/src/gateway/attempt.rs
@@ -100,6 +100,20 @@
     pub leaving: Option<Rc<str>>,
 }
 
+impl Response {
+    /// Returns a response without header fields and body.
+    pub(super) fn empty(status: http::StatusCode) -> Response {
+        Response {
+            status,
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            remainder: None,
+            share: None,
+            leaving: None,
+        }
+    }
+}
+
 /// The unread remainder of a long response body.
 #[derive(Debug)]
 pub struct Remainder {
--- a/crates/basilhaven/src/gateway/forward.rs
+++ b/crates/basilhaven/src/gateway/forward.rs
@@ -13,7 +13,7 @@
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use indexmap::IndexMap;
 
-use super::{attempt, cluster, history, memory, notify, pause, protocol, relay, shaper};
+use super::{attempt, cluster, history, memory, notify, pause, protocol, relay, reply, shaper};
 use crate::http1::{self, body, head};
 use crate::profile;
 
@@ -236,6 +236,18 @@
     }
 }
 
+impl From<&reply::Reply> for Ending {
+    fn from(reply: &reply::Reply) -> Ending {
+        match reply {
+            reply::Reply::Response(_) => Ending::Answered,
+            reply::Reply::NotRun { attempts, sends, .. } => {
+                Ending::NotRun { attempts: *attempts, sends: sends.clone() }
+            }
+            reply::Reply::Unknown(_) => Ending::Unknown,
+        }
+    }
+}
+
 /// Adds the header field that tells which upstream is leaving.
 pub fn write_leaving(headers: &mut HeaderMap, upstream: &str) {
     if let Ok(id) = HeaderValue::from_str(upstream) {
@@ -258,7 +270,7 @@
         sends: history::Sends,
     },
     /// The call may have run, or may still run.
-    Unknown(http::StatusCode),
+    Unknown(reply::Failure),
 }
 
 /// A host to which calls are passed.
@@ -347,16 +359,16 @@
             let left = std::pin::pin!(caller_left.wait(0));
             match future::select(exchange, left).await {
                 Either::Left((sent, _)) => sent,
-                Either::Right(_) => return Outcome::Unknown(http::StatusCode::BAD_GATEWAY),
+                Either::Right(_) => return Outcome::Unknown(reply::Failure::BadGateway),
             }
         };
         let outcome = match sent {
             Ok(Ok(outcome)) => outcome,
             Ok(Err(error)) => {
                 tracing::info!(event = "host_not_answering", %host, %error);
-                Outcome::Unknown(http::StatusCode::BAD_GATEWAY)
+                Outcome::Unknown(reply::Failure::BadGateway)
             }
-            Err(_) => Outcome::Unknown(http::StatusCode::GATEWAY_TIMEOUT),
+            Err(_) => Outcome::Unknown(reply::Failure::GatewayTimeout),
         };
         if !matches!(outcome, Outcome::Answered(_)) {
             peer.avoided_until.set(Some(Instant::now() + AVOID_TIME));
@@ -427,8 +439,7 @@
                 let retry_after = time.map(|time: pause::Time| time.duration());
                 Outcome::NotRun { retry_after, attempts, sends }
             }
-            Ending::Unknown if status.is_server_error() => Outcome::Unknown(status),
-            Ending::Unknown => Outcome::Unknown(http::StatusCode::BAD_GATEWAY),
+            Ending::Unknown => Outcome::Unknown(status.into()),
         })
     }
 }
--- a/crates/basilhaven/src/gateway/frontend.rs
+++ b/crates/basilhaven/src/gateway/frontend.rs
@@ -8,8 +8,8 @@
 use monoio::net::{TcpListener, TcpStream};
 
 use super::{
-    attempt, balancer, cluster, config, forward, memory, notify, protocol, relay, retries, route,
-    shaper, task, usage,
+    attempt, balancer, cluster, config, forward, memory, notify, protocol, relay, reply, retries,
+    route, shaper, task, usage,
 };
 use crate::http1::{self, head};
 use crate::profile;
@@ -330,8 +330,8 @@
         Ok(Body::Whole(body)) => body,
         Ok(Body::TooLarge) => {
             log_too_long(frontend, &request, &admission.route, limits);
-            let reply = attempts::Reply::rejected(http::StatusCode::PAYLOAD_TOO_LARGE);
-            return deliver(frontend, conn, reply, Persistence::Close, source).await;
+            let rejection = Rejection::Status(http::StatusCode::PAYLOAD_TOO_LARGE);
+            return deliver(frontend, conn, rejection.reply(), Persistence::Close, source).await;
         }
         Ok(Body::NoMemory) => {
             drop(share);
@@ -343,7 +343,7 @@
                 held = frontend.memory.held(memory::Purpose::Body),
                 waited_ms = started.elapsed().as_millis() as u64,
             );
-            return deliver(frontend, conn, attempts::Reply::refused(), Persistence::Close, source)
+            return deliver(frontend, conn, reply::Reply::refused(), Persistence::Close, source)
                 .await;
         }
         Err(error) => return reject(conn, &error).await,
@@ -375,7 +375,7 @@
     conn: &mut http1::Conn,
     table: &route::Table,
     task: attempts::Task<'_>,
-) -> Option<attempts::Reply> {
+) -> Option<reply::Reply> {
     let (call, route) = (task.call, task.route);
     let caller_left = notify::Notifier::default();
     let run = std::pin::pin!(attempts::run(frontend, table, task, &caller_left));
@@ -409,16 +409,16 @@
 fn log_unanswered(
     call: &attempt::Call,
     route: &route::Route,
-    reply: &attempts::Reply,
+    reply: &reply::Reply,
     started: Instant,
 ) {
     let status = match reply {
-        attempts::Reply::Response(_) => return,
-        attempts::Reply::NotRun { retry_after, .. } => {
+        reply::Reply::Response(_) => return,
+        reply::Reply::NotRun { retry_after, .. } => {
             metrics::histogram!("basilhaven_retry_after_seconds").record(retry_after.as_secs_f64());
             http::StatusCode::SERVICE_UNAVAILABLE
         }
-        attempts::Reply::Unknown(status) => *status,
+        reply::Reply::Unknown(failure) => failure.status(),
     };
     metrics::counter!("basilhaven_unanswered_total", "status" => status.as_u16().to_string())
         .increment(1);
--- a/crates/basilhaven/src/gateway/frontend/admission.rs
+++ b/crates/basilhaven/src/gateway/frontend/admission.rs
@@ -6,8 +6,8 @@
 use http::header::{self, HeaderMap};
 
 use super::request_body::log_too_long;
-use super::{attempts, id_text, Frontend, Source};
-use crate::gateway::{access, attempt, forward, protocol, relay, route};
+use super::{id_text, Frontend, Source};
+use crate::gateway::{access, attempt, forward, protocol, relay, reply, route};
 use crate::http1::{body, head};
 
 /// Time that a stopping host reserves for delivering a response before it exits: several round
@@ -95,10 +95,10 @@
 
 impl Rejection {
     /// Returns the reply to the caller.
-    pub(super) fn reply(self) -> attempts::Reply {
+    pub(super) fn reply(self) -> reply::Reply {
         match self {
-            Rejection::NotRun | Rejection::Exiting => attempts::Reply::refused(),
-            Rejection::Status(status) => attempts::Reply::rejected(status),
+            Rejection::NotRun | Rejection::Exiting => reply::Reply::refused(),
+            Rejection::Status(status) => reply::Reply::Response(reply::Answer::rejection(status)),
         }
     }
 }
--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -7,14 +7,13 @@
 
 use crate::gateway::moves::evidence;
 use crate::gateway::{
-    attempt, balancer, forward, frontend, history, memory, notify, queue, retries, route, upstream,
+    attempt, balancer, forward, frontend, history, memory, notify, queue, reply, retries, route,
+    upstream,
 };
 use crate::profile;
 
-/// How soon the caller of a call that was not run may retry: if no upstream had capacity, and if
-/// upstreams shed the call. Each upstream sheds calls independently of the others, so another one
-/// may well accept the call.
-pub(super) const RETRY_AFTER: Duration = Duration::from_millis(100);
+/// How soon the caller of a call may retry that upstreams shed. Each upstream sheds calls
+/// independently of the others, so another one may well accept the call.
 const RETRY_AFTER_SHED: Duration = Duration::from_millis(5);
 
 /// Minimum time that an attempt needs, as a share of the route's latency target: with less time
@@ -31,54 +30,6 @@
 /// The most upstreams to which one call cannot be sent because they cannot be connected to.
 const MAX_FAILED_CONNECTS: u32 = 3;
 
-/// The reply to the caller of a call.
-#[derive(Debug)]
-pub(super) enum Reply {
-    /// The response of an upstream.
-    Response(attempt::Response),
-    /// The call did not run and will not run.
-    NotRun {
-        /// When the caller may retry.
-        retry_after: Duration,
-        /// The attempts that were made.
-        attempts: u32,
-        /// The upstreams that they were made at.
-        sends: history::Sends,
-    },
-    /// The call may have run, but no response can be forwarded.
-    Unknown(http::StatusCode),
-}
-
-impl Reply {
-    /// The reply to a call for which no upstream was looked for.
-    pub(super) fn refused() -> Reply {
-        Reply::NotRun { retry_after: RETRY_AFTER, attempts: 0, sends: history::Sends::default() }
-    }
-
-    /// The reply to a request that is not called at an upstream for this reason.
-    pub(super) fn rejected(status: http::StatusCode) -> Reply {
-        Reply::Response(attempt::Response {
-            status,
-            headers: http::HeaderMap::new(),
-            body: bytes::Bytes::new(),
-            remainder: None,
-            share: None,
-            leaving: None,
-        })
-    }
-
-    /// Returns how this reply tells another host that the call has ended.
-    pub(super) fn ending(&self) -> forward::Ending {
-        match self {
-            Reply::Response(_) => forward::Ending::Answered,
-            Reply::NotRun { attempts, sends, .. } => {
-                forward::Ending::NotRun { attempts: *attempts, sends: sends.clone() }
-            }
-            Reply::Unknown(_) => forward::Ending::Unknown,
-        }
-    }
-}
-
 /// A call that is to be attempted.
 #[derive(Debug)]
 pub(super) struct Task<'a> {
@@ -120,7 +71,7 @@
     /// The upstreams of these attempts, and those that could not be connected to.
     sends: history::Sends,
     /// The reply if no further attempt is made; `None` as long as the call has not run.
-    reply: Option<Reply>,
+    reply: Option<reply::Reply>,
     /// When the caller may retry if the call does not run.
     retry_after: Duration,
 }
@@ -133,13 +84,13 @@
     table: &route::Table,
     task: Task<'_>,
     caller_left: &notify::Notifier,
-) -> Reply {
+) -> reply::Reply {
     let (route, call) = (task.route, task.call);
     let started = Instant::now();
     let found = task.service().and_then(|name| table.services.get_key_value(&name));
     let Some((name, service)) = found else {
         tracing::warn!(event = "no_service", route = &*route.name, version = table.version);
-        return Reply::refused();
+        return reply::Reply::refused();
     };
     let (elapsed, sends) = match &task.terms {
         Some(terms) => (terms.elapsed, terms.sends.clone()),
@@ -160,7 +111,7 @@
         hosts: 0,
         sends,
         reply: None,
-        retry_after: RETRY_AFTER,
+        retry_after: reply::RETRY_AFTER,
     };
     let arrived_at = started.checked_sub(elapsed).unwrap_or(started);
     let min_time = route.latency_target.mul_f64(MIN_TIME_SHARE);
@@ -210,7 +161,7 @@
         }
     }
     let Progress { reply, retry_after, attempts, sends, .. } = progress;
-    reply.unwrap_or(Reply::NotRun { retry_after, attempts, sends })
+    reply.unwrap_or(reply::Reply::NotRun { retry_after, attempts, sends })
 }
 
 /// The attempts of one call. Each method makes one step, and returns whether another may follow.
@@ -284,7 +235,7 @@
                     weight = 0.0;
                 }
                 may_continue = has_failed && is_repeatable;
-                progress.reply = Some(Reply::Response(response));
+                progress.reply = Some(self.answer(response));
             }
             // The call has not reached the upstream.
             attempt::Outcome::NotRun(attempt::Cause::Connect) => progress.failed_connects += 1,
@@ -299,7 +250,7 @@
             attempt::Outcome::Unknown(_) => {
                 progress.attempts += 1;
                 may_continue = is_repeatable;
-                progress.reply.get_or_insert(Reply::Unknown(http::StatusCode::BAD_GATEWAY));
+                progress.reply.get_or_insert(reply::Reply::Unknown(reply::Failure::BadGateway));
             }
         }
         if weight > 0.0 {
@@ -360,7 +311,7 @@
                 if let Some(upstream) = &response.leaving {
                     self.frontend.balancer.mark_leaving(upstream);
                 }
-                progress.reply = Some(Reply::Response(response));
+                progress.reply = Some(self.answer(response));
                 flow(false)
             }
             forward::Outcome::NotRun { retry_after, attempts, sends } => {
@@ -370,13 +321,34 @@
                 flow(true)
             }
             // The other host may have made all attempts that were left.
-            forward::Outcome::Unknown(status) => {
-                progress.reply.get_or_insert(Reply::Unknown(status));
+            forward::Outcome::Unknown(failure) => {
+                progress.reply.get_or_insert(reply::Reply::Unknown(failure));
                 flow(false)
             }
         }
     }
 
+    /// Returns the reply with the response of an upstream.
+    fn answer(&self, response: attempt::Response) -> reply::Reply {
+        let call = self.task.call;
+        let answer = reply::Answer::new(response, call.idempotency);
+        if let Some(upstream_status) = answer.withheld() {
+            let status = upstream_status.as_u16();
+            metrics::counter!("basilhaven_refusals_withheld_total", "status" => status.to_string())
+                .increment(1);
+            tracing::info!(
+                event = "refusal_withheld",
+                id = call.id_text(),
+                organisation = call.organisation.as_deref(),
+                route = &*self.task.route.name,
+                service = &**self.service,
+                upstream_status = status,
+                status = answer.response().status.as_u16(),
+            );
+        }
+        reply::Reply::Response(answer)
+    }
+
     /// Gives up on the call because of a refusal.
     fn refuse(&self, refusal: balancer::Refusal, progress: &mut Progress) -> ControlFlow<()> {
         match refusal {
--- a/crates/basilhaven/src/gateway/frontend/request_body.rs
+++ b/crates/basilhaven/src/gateway/frontend/request_body.rs
@@ -6,8 +6,8 @@
 use futures_util::future::{self, Either};
 use http::header;
 
-use super::{attempts, id_text, response, Frontend, Persistence, Source};
-use crate::gateway::{memory, route, shaper};
+use super::{id_text, response, Frontend, Persistence, Source};
+use crate::gateway::{memory, reply, route, shaper};
 use crate::http1::{self, body, head};
 
 /// How long a caller may take to send a request body.
@@ -34,7 +34,7 @@
         self,
         frontend: &Frontend,
         conn: &mut http1::Conn,
-        reply: attempts::Reply,
+        reply: reply::Reply,
         persistence: Persistence,
         source: Source,
     ) -> Result<Persistence, http1::Error> {
--- a/crates/basilhaven/src/gateway/frontend/response.rs
+++ b/crates/basilhaven/src/gateway/frontend/response.rs
@@ -8,8 +8,8 @@
 use futures_util::future::{self, Either};
 use http::header::{self, HeaderMap, HeaderValue};
 
-use super::{attempts, Frontend, Persistence, Source};
-use crate::gateway::{attempt, forward, memory, notify};
+use super::{Frontend, Persistence, Source};
+use crate::gateway::{attempt, forward, memory, notify, reply};
 use crate::http1::{self, body, head};
 
 /// Timeout of one write to a caller that reads slowly.
@@ -26,25 +26,28 @@
 pub(super) async fn deliver(
     frontend: &Frontend,
     conn: &mut http1::Conn,
-    reply: attempts::Reply,
+    reply: reply::Reply,
     persistence: Persistence,
     source: Source,
 ) -> Result<Persistence, http1::Error> {
-    let ending = reply.ending();
+    let ending = forward::Ending::from(&reply);
     let leaving = match &reply {
-        attempts::Reply::Response(response) => response.leaving.clone(),
-        attempts::Reply::NotRun { .. } | attempts::Reply::Unknown(_) => None,
+        reply::Reply::Response(answer) => answer.response().leaving.clone(),
+        reply::Reply::NotRun { .. } | reply::Reply::Unknown(_) => None,
     };
     let (status, mut headers, body, remainder, share) = match reply {
-        attempts::Reply::NotRun { retry_after, .. } => {
+        reply::Reply::NotRun { retry_after, .. } => {
             let mut headers = HeaderMap::new();
             let after = format!("{:.3}", retry_after.as_secs_f64());
             headers.insert(header::RETRY_AFTER, HeaderValue::from_str(&after).expect("a number"));
             (http::StatusCode::SERVICE_UNAVAILABLE, headers, Bytes::new(), None, None)
         }
-        attempts::Reply::Unknown(status) => (status, HeaderMap::new(), Bytes::new(), None, None),
-        attempts::Reply::Response(response) => {
-            let attempt::Response { status, headers, body, remainder, share, .. } = response;
+        reply::Reply::Unknown(failure) => {
+            (failure.status(), HeaderMap::new(), Bytes::new(), None, None)
+        }
+        reply::Reply::Response(answer) => {
+            let attempt::Response { status, headers, body, remainder, share, .. } =
+                answer.into_response();
             (status, headers, body, remainder, share)
         }
     };
--- a/crates/basilhaven/src/gateway/mod.rs
+++ b/crates/basilhaven/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 pub mod reach;
 pub mod registry;
 pub mod relay;
+pub mod reply;
 pub mod retries;
 pub mod room;
 pub mod round_trips;
--- a/crates/basilhaven/tests/gateway/main.rs
+++ b/crates/basilhaven/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod partition;
 mod reach;
 mod registry;
+mod reply;
 mod restore;
 mod room;
 mod selection;
