Give each connection a share of work between two pauses

Cause: a connection paused after 16 reads of one message, and each message began the count anew. Requests that are answered without a wait never gave the only thread back.

Change: pace::Pace counts work, whatever it is, and only a wait for input or a pause begins the count anew. http1::Conn counts by itself; loops that accept connections, receive datagrams or follow a host count too.

--- a/crates/basilhaven-bench/tests/gateway/pipelining.rs
+++ b/crates/basilhaven-bench/tests/gateway/pipelining.rs
@@ -1,7 +1,8 @@
 //! Checks pipelining: a caller sends further idempotent calls before the first response.
 
-use std::net::TcpStream;
-use std::time::Duration;
+use std::io::Write as _;
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
 
 use basilhaven_bench::process::Signal;
 use basilhaven_bench::standin::block_on;
@@ -85,3 +86,50 @@
         });
     });
 }
+
+/// How long a client pipelines, and how long an ordinary call may take meanwhile.
+const FLOOD_TIME: Duration = Duration::from_millis(1500);
+const MAX_TIME: Duration = Duration::from_millis(500);
+
+/// Sends requests behind each other until the flood is over, and reads the responses beside.
+fn flood(address: SocketAddr, path: &str) -> std::thread::JoinHandle<()> {
+    let requests = format!("GET {path} HTTP/1.1\r\nHost: shop.example\r\n\r\n").repeat(200);
+    std::thread::spawn(move || {
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.set_write_timeout(Some(FLOOD_TIME)).unwrap();
+        let mut responses = stream.try_clone().unwrap();
+        std::thread::spawn(move || std::io::copy(&mut responses, &mut std::io::sink()));
+        let until = Instant::now() + FLOOD_TIME;
+        while Instant::now() < until && stream.write_all(requests.as_bytes()).is_ok() {}
+        // The reader holds the connection open otherwise.
+        let _ = stream.shutdown(Shutdown::Both);
+    })
+}
+
+// Guards against a host that answers nobody but the client that sends requests behind each other
+// which need no upstream.
+#[test]
+fn a_client_that_pipelines_keeps_nobody_waiting() {
+    block_on(async {
+        let fixture = Fixture::start(&[PROMPT]).await;
+        let host = &fixture.host;
+        let floods = [
+            (host.callers, "/gone/1"),
+            (host.directory, "/resolve?Name=shop.example&Region=r&Zone=a"),
+            (host.ready, "/readyz"),
+            (host.metrics, "/metrics"),
+        ];
+        for (number, (address, path)) in floods.into_iter().enumerate() {
+            let flood = flood(address, path);
+            while !flood.is_finished() {
+                let started = Instant::now();
+                let id = format!("id-{number}-{}", fixture.upstreams[0].arrivals().len());
+                assert_eq!(host.call("POST", "/unsafe/1", &id).unwrap().status, 200);
+                assert!(host.is_ready());
+                let took = started.elapsed();
+                assert!(took < MAX_TIME, "{took:?} beside requests for {path}");
+                monoio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    });
+}
--- a/crates/basilhaven/src/admin/mod.rs
+++ b/crates/basilhaven/src/admin/mod.rs
@@ -8,7 +8,7 @@
 use monoio::net::TcpListener;
 
 use crate::http1::{self, body, client, head};
-use crate::{log, node};
+use crate::{log, node, pace};
 
 pub mod moves;
 pub mod orders;
@@ -59,8 +59,9 @@
 pub async fn accept(node: Rc<node::Node>, listener: TcpListener, log: log::Handle) {
     let log = Rc::new(log);
     let open = Rc::new(());
+    let pace = pace::Pace::of_listener();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, _)) = pace.step(listener.accept()).await else {
             monoio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
--- a/crates/basilhaven/src/entry/mod.rs
+++ b/crates/basilhaven/src/entry/mod.rs
@@ -10,7 +10,7 @@
 use monoio::net::{TcpListener, TcpStream};
 
 use crate::http1::{self, body, head};
-use crate::{call, name, node};
+use crate::{call, name, node, pace};
 
 mod delivery;
 mod exchange;
@@ -55,8 +55,9 @@
 
 /// Accepts connections until the returned future is dropped.
 pub async fn accept(node: Rc<node::Node>, listener: &TcpListener) {
+    let pace = pace::Pace::of_listener();
     loop {
-        match listener.accept().await {
+        match pace.step(listener.accept()).await {
             Ok((stream, _)) => spawn_connection(&node, stream),
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error);
--- a/crates/basilhaven/src/gateway/cluster/datagram.rs
+++ b/crates/basilhaven/src/gateway/cluster/datagram.rs
@@ -10,6 +10,7 @@
 
 use crate::gateway::cluster::reach;
 use crate::gateway::{cluster, moves, store, updates, usage};
+use crate::pace;
 
 /// Interval of heartbeats, in a small and in a large cluster.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -247,8 +248,9 @@
     socket: Rc<UdpSocket>,
 ) {
     let mut buffer = vec![0; MAX_DATAGRAM_LEN];
+    let pace = pace::Pace::of_listener();
     loop {
-        let (result, filled) = socket.recv_from(buffer).await;
+        let (result, filled) = pace.step(socket.recv_from(buffer)).await;
         buffer = filled;
         let (len, from) = match result {
             Ok(received) => received,
--- a/crates/basilhaven/src/gateway/directory.rs
+++ b/crates/basilhaven/src/gateway/directory.rs
@@ -11,6 +11,7 @@
 
 use super::{cluster, memory, task};
 use crate::http1::{self, body, head};
+use crate::pace;
 
 /// Maximum length in bytes of a request head.
 const MAX_HEAD_LEN: usize = 4 * 1024;
@@ -74,8 +75,9 @@
 where
     F: Fn(&http::request::Parts) -> Response + 'static,
 {
+    let pace = pace::Pace::of_listener();
     loop {
-        match listener.accept().await {
+        match pace.step(listener.accept()).await {
             Ok((stream, _)) => {
                 let share = match &memory {
                     None => None,
--- a/crates/basilhaven/src/gateway/frontend.rs
+++ b/crates/basilhaven/src/gateway/frontend.rs
@@ -12,7 +12,7 @@
     route, shaper, task, usage,
 };
 use crate::http1::{self, head};
-use crate::profile;
+use crate::{pace, profile};
 
 mod admission;
 mod attempts;
@@ -105,8 +105,9 @@
 
 /// Accepts callers' connections and serves each in its own task.
 pub async fn accept(frontend: Rc<Frontend>, listener: TcpListener) {
+    let pace = pace::Pace::of_listener();
     loop {
-        match listener.accept().await {
+        match pace.step(listener.accept()).await {
             // The next connection is accepted only once there is room for this one.
             Ok((stream, _)) => {
                 if let Some(share) = frontend.memory.accept(&stream).await {
@@ -250,7 +251,7 @@
     share: &memory::Share,
 ) -> Result<Received, http1::Error> {
     loop {
-        if let Some(request) = conn.take_request(max_len)? {
+        if let Some(request) = conn.take_request(max_len).await? {
             return Ok(Received::Request(Box::new(request)));
         }
         if share.resize(conn.next_buffer_len()).await.is_err() {
--- a/crates/basilhaven/src/gateway/relay.rs
+++ b/crates/basilhaven/src/gateway/relay.rs
@@ -18,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{access, config, route, store, task, updates};
+use crate::pace;
 
 /// Maximum time between two staleness messages to a follower.
 const STALENESS_INTERVAL: Duration = Duration::from_millis(400);
@@ -164,8 +165,9 @@
     F: Fn(TcpStream, Sender) + 'static,
 {
     let serve_calls = Rc::new(serve_calls);
+    let pace = pace::Pace::of_listener();
     loop {
-        match listener.accept().await {
+        match pace.step(listener.accept()).await {
             Ok((stream, from)) => {
                 let (replica, serve_calls) = (Rc::clone(&replica), Rc::clone(&serve_calls));
                 monoio::spawn(task::contain("follower", async move {
@@ -296,9 +298,10 @@
     let eras = Appended::from(Eras::of_known(&known));
     with_timeout(IO_TIMEOUT, write(&mut stream, &Message::Known(known), &eras)).await?;
     tracing::info!(event = "following", provider = %origin);
+    let pace = pace::Pace::of_connection();
     loop {
         let (message, Appended { eras, organisations }) =
-            with_timeout(IO_TIMEOUT, read(&mut stream)).await?;
+            pace.step(with_timeout(IO_TIMEOUT, read(&mut stream))).await?;
         match message {
             Message::Update { feed, is_snapshot, mut revision, mut items } => {
                 let now = Instant::now();
--- a/crates/basilhaven/src/http1/conn.rs
+++ b/crates/basilhaven/src/http1/conn.rs
@@ -12,6 +12,7 @@
 use nix::sys::socket;
 
 use super::{body, head, Error};
+use crate::pace;
 
 /// Maximum number of bytes per read.
 const READ_LEN: usize = 16 * 1024;
@@ -19,24 +20,18 @@
 /// Maximum number of interim responses before a final one; servers send one or two.
 const MAX_INTERIM: usize = 16;
 
-/// Number of reads of one message after which a task pauses. Connections on which data keeps arriving
-/// would otherwise starve other tasks and timers.
-const READS_PER_PAUSE: u32 = 16;
+/// Number of lines between chunks whose decoding is a unit of work.
+const LINES_PER_UNIT: u32 = 256;
 
-/// Number of lines between chunks whose decoding counts as one more read.
-const LINES_PER_READ: u32 = 256;
-
-/// Length of a pause, the shortest that the timers have. A task that merely lets others run first is
-/// not enough: the runtime looks at its timers only when no task can run.
-const PAUSE: Duration = Duration::from_millis(1);
+/// Number of written bytes that are a unit of work.
+const WRITTEN_PER_UNIT: usize = 4 * 1024;
 
 /// A connection of a client or server, with the bytes that were read but not yet consumed.
 #[derive(Debug)]
 pub struct Conn {
     stream: TcpStream,
     pub(super) buffer: BytesMut,
-    /// Reads of a message since its begin or the last pause.
-    reads: u32,
+    pace: pace::Pace,
 }
 
 impl Conn {
@@ -47,7 +42,7 @@
     /// Returns an error if Nagle's algorithm cannot be disabled.
     pub fn new(stream: TcpStream) -> io::Result<Conn> {
         stream.set_nodelay(true)?;
-        Ok(Conn { stream, buffer: BytesMut::new(), reads: 0 })
+        Ok(Conn { stream, buffer: BytesMut::new(), pace: pace::Pace::of_connection() })
     }
 
     /// Opens a connection within `limit`.
@@ -105,21 +100,16 @@
     ///
     /// If the returned future is dropped before it completes, the connection must be closed.
     pub(super) async fn fill(&mut self) -> io::Result<usize> {
-        self.reads += 1;
-        if self.reads > READS_PER_PAUSE {
-            self.reads = 0;
-            monoio::time::sleep(PAUSE).await;
-        }
         self.buffer.reserve(READ_LEN);
         let tail = self.buffer.split_off(self.buffer.len());
-        let (result, tail) = self.stream.read(tail).await;
+        let (result, tail) = self.pace.step(self.stream.read(tail)).await;
         self.buffer.unsplit(tail);
         result
     }
 
-    /// Counts the decoding of so many lines as work after which the task pauses.
-    pub(super) fn count_lines(&mut self, lines: u32) {
-        self.reads += lines / LINES_PER_READ;
+    /// Counts the decoding of so many lines as work.
+    pub(super) fn count_lines(&self, lines: u32) {
+        self.pace.add(lines / LINES_PER_UNIT);
     }
 
     /// Writes all of `bytes`.
@@ -199,6 +189,7 @@
 
     /// Passes to the operating system as much of `bytes` as it accepts without blocking.
     fn send_nonblocking(&self, bytes: &mut Bytes) -> io::Result<()> {
+        self.pace.add((bytes.len() / WRITTEN_PER_UNIT) as u32);
         let flags = socket::MsgFlags::MSG_DONTWAIT | socket::MsgFlags::MSG_NOSIGNAL;
         while !bytes.is_empty() {
             match socket::send(self.stream.as_raw_fd(), bytes, flags) {
@@ -245,7 +236,7 @@
     ///
     /// Returns an error if the connection fails.
     pub async fn readable(&self) -> io::Result<()> {
-        self.stream.readable(false).await
+        self.pace.wait(self.stream.readable(false)).await
     }
 
     /// Waits until the peer has ended the connection. Bytes that it sent before remain unread.
@@ -294,7 +285,7 @@
     /// connection fails within it.
     pub async fn read_request(&mut self, max_len: usize) -> Result<Option<head::Request>, Error> {
         loop {
-            if let Some(request) = self.take_request(max_len)? {
+            if let Some(request) = self.take_request(max_len).await? {
                 return Ok(Some(request));
             }
             if self.fill().await? == 0 {
@@ -351,10 +342,7 @@
                             return Err(Error::malformed("too many interim responses"));
                         }
                     }
-                    _ => {
-                        self.reads = 0;
-                        return Ok(response);
-                    }
+                    _ => return Ok(response),
                 }
             }
             self.write_unsent_unless_answered(unsent).await?;
@@ -364,14 +352,16 @@
         }
     }
 
-    /// Removes the head of the next request from the read buffer if it is complete.
+    /// Removes the head of the next request from the read buffer if it is complete. A peer that has
+    /// sent many requests waits between them while others are served.
     ///
     /// # Errors
     ///
     /// Returns an error if the head is malformed or larger than `max_len` bytes.
-    pub fn take_request(&mut self, max_len: usize) -> Result<Option<head::Request>, Error> {
+    pub async fn take_request(&mut self, max_len: usize) -> Result<Option<head::Request>, Error> {
+        self.pace.pause_if_due().await;
         let request = head::decode_request(&mut self.buffer, max_len)?;
-        self.reads = if request.is_some() { 0 } else { self.reads };
+        self.pace.add(u32::from(request.is_some()));
         Ok(request)
     }
 
--- a/crates/basilhaven/src/lib.rs
+++ b/crates/basilhaven/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod node;
 pub mod order;
 pub mod outlier;
+pub mod pace;
 pub mod peer;
 pub mod placement;
 pub mod platform;
--- a/crates/basilhaven/src/peer.rs
+++ b/crates/basilhaven/src/peer.rs
@@ -10,7 +10,7 @@
 use monoio::net::udp::UdpSocket;
 use monoio::net::TcpStream;
 
-use crate::{failure, gossip, member, node, sync, wire};
+use crate::{failure, gossip, member, node, pace, sync, wire};
 
 /// The number of hosts to which an urgent update is sent at once.
 const FANOUT: usize = 4;
@@ -115,8 +115,9 @@
 /// Never returns an error at present: the loop continues after errors of the socket.
 pub async fn receive(node: Rc<node::Node>, socket: Rc<UdpSocket>) -> io::Result<()> {
     let mut buffer = vec![0; wire::MAX_FRAME_LEN + 1];
+    let pace = pace::Pace::of_listener();
     loop {
-        let (result, returned) = socket.recv_from(buffer).await;
+        let (result, returned) = pace.step(socket.recv_from(buffer)).await;
         buffer = returned;
         // A datagram that was sent to a closed port causes an error here; the socket stays usable.
         let Ok((len, from)) = result else {
--- a/crates/basilhaven/src/sync.rs
+++ b/crates/basilhaven/src/sync.rs
@@ -11,7 +11,7 @@
 use monoio::io::{AsyncReadRentExt as _, AsyncWriteRentExt as _};
 use monoio::net::{TcpListener, TcpStream};
 
-use crate::{commit, config, difference, finding, node, peer, platform, replica, wire};
+use crate::{commit, config, difference, finding, node, pace, peer, platform, replica, wire};
 
 /// The maximum mean interval between polls of a row while the platform does not respond, unless
 /// [`platform::poll_interval`] is longer.
@@ -407,8 +407,9 @@
 /// Serves peers until the process ends.
 pub async fn serve(node: Rc<node::Node>, listener: TcpListener) {
     let open_count = Rc::new(Cell::new(0));
+    let pace = pace::Pace::of_listener();
     loop {
-        let Ok((mut stream, _)) = listener.accept().await else {
+        let Ok((mut stream, _)) = pace.step(listener.accept()).await else {
             monoio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
