Bound what many connections with short bodies hold

Cause: three things that grow with the number of connections were not counted. A request's header fields kept the whole read buffer that they arrived in; read buffers grew beyond a read and were held while waiting; the operating system received up to twice 128 KiB on each connection.

Change: heads are copied out of the read buffer; a connection waits without a buffer and reads at most one buffer; receive buffers are granted from a bounded part of the memory (memory::Unread), as long as before for the first connections; connections are bounded by memory as well as by descriptors; the bytes held for callers are 0.5 of the memory, before 0.55.

--- a/crates/basilhaven-bench/tests/clients.rs
+++ b/crates/basilhaven-bench/tests/clients.rs
@@ -18,11 +18,11 @@
 use basilhaven_bench::standin::block_on;
 use basilhaven_bench::standin::users::store::Store;
 use basilhaven_bench::standin::users::upstream::{Behaviour, Endless, Upstream};
+use nix::sys::resource;
 
 /// The memory of the gateway, in units of 1,000,000 bytes. The crowds would make it hold about three
 /// times as much; at rest it uses about a sixth.
 const MEMORY_MB: u64 = 64;
-const MEMORY_BYTES: u64 = MEMORY_MB * 1_000_000;
 
 /// The descriptors of the gateway, of which [`RESERVED_FDS`] are not for connections. The crowd of
 /// connections is three times as large as the rest.
@@ -30,6 +30,13 @@
 const RESERVED_FDS: u64 = 200;
 const CONNECTIONS: usize = 600;
 
+/// Limits of a gateway whose memory is filled by connections and not by their bodies, the clients
+/// that connect to it, and the length of their bodies.
+const MANY_FDS: u64 = 4100;
+const MEMORY_MB_OF_MANY: u64 = 160;
+const MANY_CLIENTS: usize = 2400;
+const SHORT_BODY_LEN: usize = 128 * 1024;
+
 /// Connections one after the other, each with one request.
 const ENDED_CONNECTIONS: usize = 20_000;
 
@@ -72,10 +79,16 @@
     _store: Store,
     upstream: Upstream,
     monitor: Monitor,
+    memory_mb: u64,
+    max_fds: u64,
 }
 
 impl Fixture {
     async fn start(max_body_len: usize) -> Fixture {
+        Fixture::start_with(max_body_len, MEMORY_MB, MAX_FDS).await
+    }
+
+    async fn start_with(max_body_len: usize, memory_mb: u64, max_fds: u64) -> Fixture {
         let store = Store::start();
         let config = config_with(1, SERVICE, |config| {
             config["Limits"]["MaxBodyBytes"] = max_body_len.into();
@@ -83,12 +96,12 @@
         store.put("op", "config", &config);
         let upstream = Upstream::start("i-0", Behaviour::Serves(Duration::ZERO));
         store.put("servers", &upstream.id, &upstream.entry(SERVICE, "v1", "ready"));
-        let (memory, fds) = (MEMORY_MB.to_string(), MAX_FDS.to_string());
+        let (memory, fds) = (memory_mb.to_string(), max_fds.to_string());
         let settings = [("BASILHAVEN_MEMORY_MB", &*memory), ("BASILHAVEN_MAX_FDS", &*fds)];
         let host = Host::start_with(store.address(), Ipv4Addr::LOCALHOST, 0, "", &settings).await;
         wait_until("the host is ready", || host.is_ready()).await;
         let monitor = Monitor::start(host.process.id(), &[host.callers.port()], &[]);
-        Fixture { host, _store: store, upstream, monitor }
+        Fixture { host, _store: store, upstream, monitor, memory_mb, max_fds }
     }
 
     /// Waits until an ordinary request is answered, and checks what the gateway has used until
@@ -104,9 +117,10 @@
         let Peak { bytes: held, descriptors: fds } = self.monitor.finish();
         drop(crowd);
         println!("peak resident {peak}, peak with unread bytes {held}, peak descriptors {fds}");
-        assert!(peak <= MEMORY_BYTES, "{peak} bytes resident");
-        assert!(held <= MEMORY_BYTES, "{held} bytes resident and unread");
-        assert!(fds <= MAX_FDS - RESERVED_FDS, "{fds} open descriptors");
+        let memory = self.memory_mb * 1_000_000;
+        assert!(peak <= memory, "{peak} bytes resident");
+        assert!(held <= memory, "{held} bytes resident and unread");
+        assert!(fds <= self.max_fds - RESERVED_FDS, "{fds} open descriptors");
     }
 }
 
@@ -141,6 +155,15 @@
     streams
 }
 
+/// Raises the limit on the descriptors of this process, and of those that it starts, if it is lower.
+fn allow_descriptors(count: u64) {
+    let (soft, hard) = resource::getrlimit(resource::Resource::RLIMIT_NOFILE).expect("a limit");
+    if soft < count {
+        let set = resource::setrlimit(resource::Resource::RLIMIT_NOFILE, count.min(hard), hard);
+        set.expect("a limit below the hard one");
+    }
+}
+
 /// Returns the head of a client's request with this field.
 fn head(client: usize, field: &str) -> Vec<u8> {
     let head = format!(
@@ -190,6 +213,21 @@
     });
 }
 
+/// Guards against memory that grows with the number of connections and is not counted: read buffers,
+/// and what the operating system has received on each of them.
+#[test]
+fn many_connections_with_short_bodies_are_held_within_the_memory() {
+    run_alone(async {
+        allow_descriptors(MANY_FDS);
+        let fixture = Fixture::start_with(MAX_BODY_LEN, MEMORY_MB_OF_MANY, MANY_FDS).await;
+        let crowd = play(fixture.host.callers, MANY_CLIENTS, |client| {
+            let head = head(client, &format!("Content-Length: {SHORT_BODY_LEN}"));
+            in_pieces(head, &vec![b'x'; sent_len(client, SHORT_BODY_LEN)])
+        });
+        fixture.check(crowd).await;
+    });
+}
+
 /// Guards against the same with bodies that grow slowly, so that none is large when it is admitted.
 #[test]
 fn many_legal_bodies_in_pieces_are_held_within_the_memory() {
--- a/crates/basilhaven/src/gateway/frontend.rs
+++ b/crates/basilhaven/src/gateway/frontend.rs
@@ -107,6 +107,7 @@
 pub async fn accept(frontend: Rc<Frontend>, listener: TcpListener) {
     let pace = pace::Pace::of_listener();
     loop {
+        frontend.memory.limit_unread(&listener);
         match pace.step(listener.accept()).await {
             // The next connection is accepted only once there is room for this one.
             Ok((stream, _)) => {
--- a/crates/basilhaven/src/gateway/memory.rs
+++ b/crates/basilhaven/src/gateway/memory.rs
@@ -11,14 +11,16 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
+use nix::sys::socket;
 
 use super::notify;
 use crate::http1;
 
 /// The part of the process's memory that callers' bytes may take. The rest is for the program, the
-/// list of upstreams, the other hosts, what the operating system has received and nobody has read,
-/// and the allocator's losses. A body of 64 MiB has to fit on a host of 160 MB, beside the reserve.
-const MEMORY_SHARE: f64 = 0.55;
+/// list of upstreams, the other hosts, connections by themselves, what the operating system has
+/// received and nobody has read, and the allocator's losses. A body of 64 MiB has to fit on a host of
+/// 160 MB, beside the reserve.
+const MEMORY_SHARE: f64 = 0.5;
 
 /// The part of the budget that holders of more than [`SMALL_LEN`] can't take: heads and the bodies
 /// of ordinary calls have room while large bodies compete.
@@ -35,11 +37,23 @@
 const STALL_TIME: Duration = Duration::from_secs(1);
 const STALL_LEN: usize = 16 * 1024;
 
-/// Bytes that the operating system receives on a connection before they are read, if the memory is
-/// limited. They count as memory of the process, and with the system's default they reach many
-/// megabytes. A 200 Mbit/s host fills its link with this at round trips of 5 ms.
+/// The longest receive buffer of a connection if the memory is limited. What the operating system
+/// has received counts as memory of the process, and with its default it reaches many megabytes. A
+/// 200 Mbit/s host fills its link with this at round trips of 5 ms.
 pub const RECEIVE_LEN: usize = 128 * 1024;
 
+/// The part of the process's memory that the operating system may fill with bytes that were received
+/// on callers' connections and are not read yet. A part of it is divided equally among all
+/// connections that are admitted at most; each one gets another part of what is left of the rest.
+const UNREAD_SHARE: f64 = 0.12;
+const UNREAD_SHARE_OF_ALL: f64 = 0.25;
+const UNREAD_SHARE_OF_ONE: f64 = 1.0 / 64.0;
+
+/// The part of the process's memory that callers' connections may take by themselves, and what one
+/// of them takes besides its bytes, mostly for its task.
+const CONNECTIONS_SHARE: f64 = 0.15;
+const CONNECTION_LEN: usize = 11 * 1024;
+
 /// The least that the operating system may receive on a connection before it is read, and the part
 /// of the budget that it receives of a response with a long body: a thousand connections may receive
 /// as much as the budget again.
@@ -130,6 +144,8 @@
     /// before.
     window: Cell<(Instant, usize, usize)>,
     is_dropped: Cell<bool>,
+    /// The length of a connection's receive buffer.
+    unread: Cell<usize>,
     dropped: notify::Notifier,
 }
 
@@ -158,6 +174,57 @@
     }
 }
 
+/// The receive buffers of callers' connections.
+///
+/// Answers load of more connections than the memory has room for if each has as long a buffer as a
+/// single one needs. A connection takes its length from the listener when it is established. The
+/// operating system receives up to twice that length.
+#[derive(Debug, Default)]
+struct Unread {
+    /// The length that each connection has at least.
+    min_len: usize,
+    /// What all connections together may have beyond that; `None` without a bound.
+    spare: Option<Cell<usize>>,
+    /// The length for connections that are established now.
+    len: Cell<usize>,
+}
+
+impl Unread {
+    /// Divides what may be received in all among at most so many connections.
+    fn new(received: Option<usize>, max_connections: Option<usize>) -> Unread {
+        let Some(received) = received else { return Unread::default() };
+        let bytes = received / 2;
+        let Some(max) = max_connections else {
+            return Unread { min_len: RECEIVE_LEN, ..Unread::default() };
+        };
+        let min_len = ((bytes as f64 * UNREAD_SHARE_OF_ALL) as usize / max).min(RECEIVE_LEN);
+        Unread { min_len, spare: Some(Cell::new(bytes - min_len * max)), len: Cell::default() }
+    }
+
+    /// Returns the length for the connections that are established next if it has changed.
+    fn take_change(&self) -> Option<usize> {
+        let spare = self.spare.as_ref().map_or(0, Cell::get) as f64;
+        let len = (self.min_len + (spare * UNREAD_SHARE_OF_ONE) as usize).min(RECEIVE_LEN);
+        (self.len.replace(len) != len).then_some(len)
+    }
+
+    /// Counts a connection that was established with the present length, which is returned.
+    fn grant(&self) -> usize {
+        let len = self.len.get();
+        if let Some(spare) = &self.spare {
+            spare.set(spare.get().saturating_sub(len.saturating_sub(self.min_len)));
+        }
+        len
+    }
+
+    /// Gives back the length of a connection that has ended.
+    fn give_back(&self, len: usize) {
+        if let Some(spare) = &self.spare {
+            spare.set(spare.get() + len.saturating_sub(self.min_len));
+        }
+    }
+}
+
 /// Decides who may hold bytes and connections.
 ///
 /// Answers load of clients that nobody controls: many large bodies at once, most of which never
@@ -194,6 +261,7 @@
     next_number: Cell<u64>,
     open_connections: Cell<usize>,
     held: [Cell<usize>; Purpose::ALL.len()],
+    unread: Unread,
     /// Notified when bytes or connections are released, and when a holder is dropped.
     pub released: notify::Notifier,
 }
@@ -202,10 +270,15 @@
     /// Creates a budget from what the settings name.
     pub fn new(limits: Limits) -> Budget {
         let fds = limits.max_fds.map(|fds| fds.saturating_sub(RESERVED_FDS));
-        let of_fds = |fds: usize| ((fds as f64 * CALLERS_SHARE) as usize).max(MIN_CONNECTIONS);
+        let part = |share: f64| limits.memory.map(|bytes| (bytes as f64 * share) as usize);
+        let of_fds = fds.map(|fds| (fds as f64 * CALLERS_SHARE) as usize);
+        let of_memory = part(CONNECTIONS_SHARE).map(|bytes| bytes / CONNECTION_LEN);
+        let max_connections =
+            of_fds.map(|fds| of_memory.map_or(fds, |max| max.min(fds)).max(MIN_CONNECTIONS));
         Budget {
-            limit: limits.memory.map(|bytes| (bytes as f64 * MEMORY_SHARE) as usize),
-            max_connections: fds.map(of_fds),
+            limit: part(MEMORY_SHARE),
+            unread: Unread::new(part(UNREAD_SHARE), max_connections),
+            max_connections,
             max_fd: fds.map(|fds| fds.saturating_sub(SPARE_FDS).max(MIN_CONNECTIONS)),
             holders: RefCell::default(),
             next_number: Cell::default(),
@@ -248,6 +321,7 @@
             since: now,
             window: Cell::new((now, 0, 0)),
             is_dropped: Cell::default(),
+            unread: Cell::default(),
             dropped: notify::Notifier::default(),
         });
         // Without a limit no holder is ever looked for.
@@ -272,7 +346,9 @@
             let seen = self.released.count();
             match self.admit_connection(fd, Instant::now()) {
                 Decision::Granted => {
-                    return Some(self.share(Purpose::Connection, Phase::Receiving, Instant::now()));
+                    let share = self.share(Purpose::Connection, Phase::Receiving, Instant::now());
+                    share.holder.unread.set(self.unread.grant());
+                    return Some(share);
                 }
                 Decision::Wait => self.released.wait_timeout(seen, ROOM_TIMEOUT).await,
                 Decision::Denied => {
@@ -284,6 +360,17 @@
         }
     }
 
+    /// Limits what the operating system receives on the connections that are accepted next, before
+    /// it is read.
+    pub fn limit_unread(&self, listener: &impl AsRawFd) {
+        if let Some(len) = self.unread.take_change() {
+            let option = socket::sockopt::RcvBuf;
+            if let Err(error) = socket::setsockopt(listener.as_raw_fd(), option, &len) {
+                tracing::warn!(event = "receive_buffer_not_limited", %error);
+            }
+        }
+    }
+
     /// Decides whether one more connection may be kept, whose descriptor has this number. The
     /// connection that has waited longest for a request is closed in its favour.
     ///
@@ -518,6 +605,7 @@
         self.budget.holders.borrow_mut().swap_remove(&self.holder.number);
         if self.holder.purpose == Purpose::Connection {
             self.budget.open_connections.set(self.budget.open_connections.get() - 1);
+            self.budget.unread.give_back(self.holder.unread.get());
         }
         self.budget.released.notify();
     }
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -124,12 +124,9 @@
     let sockets = bind(&settings)?;
     if settings.limits.memory.is_some() {
         // Accepted connections take the option from the listener.
-        for listener in [&sockets.callers, &sockets.relay] {
-            let option = nix::sys::socket::sockopt::RcvBuf;
-            let set =
-                nix::sys::socket::setsockopt(listener.as_raw_fd(), option, &memory::RECEIVE_LEN);
-            set.expect("a socket option of a listening socket");
-        }
+        let option = nix::sys::socket::sockopt::RcvBuf;
+        nix::sys::socket::setsockopt(sockets.relay.as_raw_fd(), option, &memory::RECEIVE_LEN)
+            .expect("a socket option of a listening socket");
     }
     let stop = signal_stream(&[signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT]);
     let reload = signal_stream(&[signal_hook::consts::SIGHUP]);
--- a/crates/basilhaven/src/http1/conn.rs
+++ b/crates/basilhaven/src/http1/conn.rs
@@ -7,7 +7,7 @@
 
 use bytes::{Buf as _, Bytes, BytesMut};
 use futures_util::future;
-use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
+use monoio::io::AsyncWriteRentExt as _;
 use monoio::net::TcpStream;
 use nix::sys::socket;
 
@@ -98,12 +98,39 @@
 
     /// Reads more bytes into the buffer. Returns 0 if the peer has finished sending.
     ///
-    /// If the returned future is dropped before it completes, the connection must be closed.
+    /// Nothing is held while the connection waits, and nothing is lost if the returned future is
+    /// dropped.
     pub(super) async fn fill(&mut self) -> io::Result<usize> {
-        self.buffer.reserve(READ_LEN);
-        let tail = self.buffer.split_off(self.buffer.len());
-        let (result, tail) = self.pace.step(self.stream.read(tail)).await;
-        self.buffer.unsplit(tail);
+        loop {
+            self.pace.pause_if_due().await;
+            match self.fill_nonblocking() {
+                Ok(len) => {
+                    self.pace.add(1);
+                    return Ok(len);
+                }
+                Err(nix::Error::EINTR) => {}
+                Err(nix::Error::EAGAIN) => {
+                    self.release_buffer();
+                    self.readable().await?;
+                }
+                Err(error) => return Err(error.into()),
+            }
+        }
+    }
+
+    /// Reads into the buffer what the operating system has received, up to [`READ_LEN`] bytes.
+    fn fill_nonblocking(&mut self) -> nix::Result<usize> {
+        let len = self.buffer.len();
+        if self.buffer.capacity() < len + READ_LEN {
+            // `reserve` would make room for more than one read.
+            let mut buffer = BytesMut::with_capacity(len + READ_LEN);
+            buffer.extend_from_slice(&self.buffer);
+            self.buffer = buffer;
+        }
+        self.buffer.resize(len + READ_LEN, 0);
+        let flags = socket::MsgFlags::MSG_DONTWAIT;
+        let result = socket::recv(self.stream.as_raw_fd(), &mut self.buffer[len..], flags);
+        self.buffer.truncate(len + result.unwrap_or(0));
         result
     }
 
--- a/crates/basilhaven/src/http1/head.rs
+++ b/crates/basilhaven/src/http1/head.rs
@@ -4,7 +4,7 @@
 use std::io::Write as _;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf as _, Bytes, BytesMut};
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use monoio_codec::{Decoded, Decoder as _};
 use monoio_http::h1::codec::decoder::{RequestHeadDecoder, ResponseHeadDecoder};
@@ -68,10 +68,8 @@
 /// Returns an error if the head is malformed, ambiguous or larger than `max_len` bytes.
 pub fn decode_request(buffer: &mut BytesMut, max_len: usize) -> Result<Option<Request>, Error> {
     skip_empty_lines(buffer);
-    if !is_complete(buffer, max_len)? {
-        return Ok(None);
-    }
-    let decoded = RequestHeadDecoder.decode(buffer);
+    let Some(mut head) = take_head(buffer, max_len)? else { return Ok(None) };
+    let decoded = RequestHeadDecoder.decode(&mut head);
     let parts = match decoded.map_err(|_| Error::malformed("malformed request head"))? {
         Decoded::Some(parts) => parts,
         _ => return Err(Error::malformed("malformed request head")),
@@ -112,10 +110,8 @@
     method: &http::Method,
     max_len: usize,
 ) -> Result<Option<Response>, Error> {
-    if !is_complete(buffer, max_len)? {
-        return Ok(None);
-    }
-    let decoded = ResponseHeadDecoder.decode(buffer);
+    let Some(mut head) = take_head(buffer, max_len)? else { return Ok(None) };
+    let decoded = ResponseHeadDecoder.decode(&mut head);
     let parts = match decoded.map_err(|_| Error::malformed("malformed response head"))? {
         Decoded::Some(parts) => parts,
         _ => return Err(Error::malformed("malformed response head")),
@@ -143,9 +139,18 @@
     }
 }
 
-/// Returns `true` if the buffer holds a complete head. A line that ends without a carriage return
-/// is rejected, since parsers disagree on whether it ends the head.
-fn is_complete(buffer: &[u8], max_len: usize) -> Result<bool, Error> {
+/// Moves a complete head out of the buffer. It is copied: the header fields of a message share its
+/// memory, and would keep that of the whole buffer for as long as the message is in use.
+fn take_head(buffer: &mut BytesMut, max_len: usize) -> Result<Option<BytesMut>, Error> {
+    let Some(len) = complete_len(buffer, max_len)? else { return Ok(None) };
+    let head = BytesMut::from(&buffer[..len]);
+    buffer.advance(len);
+    Ok(Some(head))
+}
+
+/// Returns the length of the head in the buffer if it is complete. A line that ends without a
+/// carriage return is rejected, since parsers disagree on whether it ends the head.
+fn complete_len(buffer: &[u8], max_len: usize) -> Result<Option<usize>, Error> {
     let mut line_start = 0;
     while let Some(at) = buffer[line_start..].iter().position(|&b| b == b'\n') {
         let end = line_start + at;
@@ -156,14 +161,14 @@
             return Err(Error::malformed("line feed without carriage return"));
         }
         if end - line_start == 1 {
-            return Ok(true);
+            return Ok(Some(end + 1));
         }
         line_start = end + 1;
     }
     if buffer.len() >= max_len {
         return Err(Error::head_too_large());
     }
-    Ok(false)
+    Ok(None)
 }
 
 /// Returns the framing declared by the header fields.
