Close connections that wait for a request in order, without a reset

Cause: a response counts as delivered when it is in the send buffer. The connection then waits, and the one that has waited longest is dropped when connections are short, by a reset, which discards the send buffer.

Evidence: clients::a_response_that_is_read_slowly_arrives_whole_beside_a_crowd failed before, with a response that was cut short.

Change: a connection that is dropped while it waits for a request or for the rest of a head, and one whose head takes too long, is closed in order. The operating system delivers what was written. socket2, which was in the lock file before, is a dependency of the tests.

--- a/crates/basilhaven-bench/src/standin/users/upstream.rs
+++ b/crates/basilhaven-bench/src/standin/users/upstream.rs
@@ -19,7 +19,9 @@
 /// Marks the response to a call that was not executed.
 const REJECTION: (&str, &str) = ("x-basilhaven-not-executed", "1");
 
-/// Length in bytes of a body that a host does not buffer as a whole.
+/// Length in bytes of a body that fits into the send buffer of a connection, and of one that a host
+/// does not buffer as a whole.
+pub const MEDIUM_LEN: usize = 30_000;
 const LONG_LEN: usize = 1024 * 1024;
 
 /// How long after a response an upstream begins to send bytes on the idle connection.
@@ -81,6 +83,8 @@
 pub enum Content {
     /// A few bytes.
     Short,
+    /// [`MEDIUM_LEN`] bytes.
+    Medium,
     /// More bytes than a host buffers.
     Long,
     /// Half of a long body; the connection is closed then.
@@ -518,6 +522,7 @@
             write_response(stream, status, headers, b"failed")?;
             return Ok(true);
         }
+        Content::Medium => (format!("content-length: {MEDIUM_LEN}"), MEDIUM_LEN),
         Content::Long => (format!("content-length: {LONG_LEN}"), LONG_LEN),
         Content::Truncated => (format!("content-length: {LONG_LEN}"), LONG_LEN / 2),
         Content::Endless => ("transfer-encoding: chunked".to_owned(), 0),
@@ -530,7 +535,7 @@
         send_without_end(stream, endless_chunks().as_bytes(), Duration::ZERO)?;
     }
     stream.write_all(&vec![b'x'; len])?;
-    Ok(content == Content::Long)
+    Ok(content != Content::Truncated)
 }
 
 /// Sends bytes until the caller closes the connection, which ends in a write error.
--- a/crates/basilhaven-bench/tests/clients.rs
+++ b/crates/basilhaven-bench/tests/clients.rs
@@ -13,12 +13,15 @@
 use std::sync::{Barrier, Mutex, PoisonError};
 use std::time::Duration;
 
-use basilhaven_bench::gateway::{config_with, receive, wait_until, Host, SERVICE};
+use basilhaven_bench::gateway::{config_with, receive, send, wait_until, Host, SERVICE};
 use basilhaven_bench::monitor::{Monitor, Peak};
 use basilhaven_bench::standin::block_on;
 use basilhaven_bench::standin::users::store::Store;
-use basilhaven_bench::standin::users::upstream::{Behaviour, Endless, Upstream};
+use basilhaven_bench::standin::users::upstream::{
+    Behaviour, Content, Endless, Upstream, MEDIUM_LEN,
+};
 use nix::sys::resource;
+use socket2::{Domain, Socket, Type};
 
 /// The memory of the gateway, in units of 1,000,000 bytes. The crowds would make it hold about three
 /// times as much; at rest it uses about a sixth.
@@ -164,6 +167,14 @@
     }
 }
 
+/// Connects as a caller whose system receives little before it is read.
+fn connect_with_small_window(address: SocketAddr) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("a socket option");
+    socket.connect(&address.into()).expect("a listening gateway");
+    socket.into()
+}
+
 /// Returns the head of a client's request with this field.
 fn head(client: usize, field: &str) -> Vec<u8> {
     let head = format!(
@@ -352,6 +363,35 @@
     });
 }
 
+/// Guards against a crowd that makes a gateway reset connections whose callers still read a response
+/// that the gateway has written.
+#[test]
+fn a_response_that_is_read_slowly_arrives_whole_beside_a_crowd() {
+    run_alone(async {
+        let fixture = Fixture::start(MAX_BODY_LEN).await;
+        fixture.upstream.set_behaviour(Behaviour::FailsWith(500, Content::Medium));
+        let mut callers: Vec<TcpStream> =
+            (0..8).map(|_| connect_with_small_window(fixture.host.callers)).collect();
+        for (number, stream) in callers.iter_mut().enumerate() {
+            send(stream, "GET", "/safe/a", &format!("slow-{number}"), 5000).expect("a gateway");
+        }
+        let is_sent = || fixture.host.process.event_count("sent") >= callers.len();
+        wait_until("the calls are answered", is_sent).await;
+        fixture.upstream.set_behaviour(Behaviour::Serves(Duration::ZERO));
+        let crowd = play(fixture.host.callers, CONNECTIONS, |client| {
+            let mut message = head(client, "Content-Length: 1000");
+            message.resize(message.len() + 999, b'x');
+            vec![message]
+        });
+        for stream in &mut callers {
+            let response = receive(stream).expect("a response");
+            assert_eq!((response.status, response.body.len()), (500, MEDIUM_LEN));
+            assert!(response.is_complete, "the response was cut short");
+        }
+        fixture.check(crowd).await;
+    });
+}
+
 /// Guards against bounds that refuse a request inside the limits of the configuration, and against
 /// copies of a body.
 #[test]
--- a/crates/basilhaven/src/gateway/frontend.rs
+++ b/crates/basilhaven/src/gateway/frontend.rs
@@ -192,7 +192,7 @@
                 Either::Left((received, _)) => received,
                 Either::Right(_) => {
                     tracing::debug!(event = "connection_dropped");
-                    Received::End(Persistence::Abort)
+                    Received::End(Persistence::Close)
                 }
             }
         };
@@ -229,7 +229,8 @@
     Invalid(http1::Error),
 }
 
-/// Waits for the next request, and reads its head.
+/// Waits for the next request, and reads its head. The caller may still be reading the response
+/// before, which a reset would discard.
 async fn receive_request(
     frontend: &Frontend,
     conn: &mut http1::Conn,
@@ -242,7 +243,7 @@
     let reading = read_head(conn, limits.max_head_len, share);
     match monoio::time::timeout(limits.head_timeout, reading).await {
         Ok(received) => received.unwrap_or_else(Received::Invalid),
-        Err(_) => Received::End(Persistence::Abort),
+        Err(_) => Received::End(Persistence::Close),
     }
 }
 
@@ -256,7 +257,7 @@
             return Ok(Received::Request(Box::new(request)));
         }
         if share.resize(conn.next_buffer_len()).await.is_err() {
-            return Ok(Received::End(Persistence::Abort));
+            return Ok(Received::End(Persistence::Close));
         }
         let len = conn.read_more_of_head().await?;
         if len == 0 {
