Let connections whose bodies do not arrive be closed for new ones

Cause: a connection counted as one with a call in progress from its head on, and those are never closed in favour of new ones. Besides, a connection that was just accepted was the first to be closed, as it had no bytes; and one with too high a descriptor made all others be closed in turn, and was refused then.

Evidence: clients::a_crowd_whose_bodies_never_end_keeps_nobody_out (an ordinary caller's connection ended without an answer) and memory::connections_whose_bodies_have_stalled_are_closed_for_new_ones failed before.

Change: until a body is whole, its connection may be closed, the one that has waited longest first; its caller gets 503, which is true, as no call has begun. Connections without a request go first only after a second. Each connection that is closed for a new one counts as a descriptor less.

--- a/crates/basilhaven-bench/tests/clients.rs
+++ b/crates/basilhaven-bench/tests/clients.rs
@@ -40,6 +40,9 @@
 const MANY_CLIENTS: usize = 2400;
 const SHORT_BODY_LEN: usize = 128 * 1024;
 
+/// Ordinary callers beside a crowd, each with a connection of its own.
+const CALLERS: usize = 16;
+
 /// Connections one after the other, each with one request.
 const ENDED_CONNECTIONS: usize = 20_000;
 
@@ -321,6 +324,29 @@
     });
 }
 
+/// Guards against a gateway that refuses new connections while a crowd, whose bodies never end, has all
+/// that it accepts.
+#[test]
+fn a_crowd_whose_bodies_never_end_keeps_nobody_out() {
+    run_alone(async {
+        let fixture = Fixture::start(MAX_BODY_LEN).await;
+        let crowd = play(fixture.host.callers, CONNECTIONS, |client| {
+            let mut message = head(client, "Content-Length: 4096");
+            message.resize(message.len() + 4095, b'x');
+            vec![message]
+        });
+        let mut callers: Vec<TcpStream> =
+            (0..CALLERS).map(|_| fixture.host.open().expect("a listening gateway")).collect();
+        for (number, stream) in callers.iter_mut().enumerate() {
+            send(stream, "GET", "/safe/a", &format!("caller-{number}"), 2000).expect("a gateway");
+        }
+        for stream in &mut callers {
+            assert_eq!(receive(stream).expect("a response").status, 200);
+        }
+        fixture.check(crowd).await;
+    });
+}
+
 /// Guards against the same at the directory, whose address callers know too.
 #[test]
 fn connections_to_the_directory_are_kept_below_the_descriptors() {
--- a/crates/basilhaven/src/gateway/frontend.rs
+++ b/crates/basilhaven/src/gateway/frontend.rs
@@ -329,14 +329,14 @@
     };
     let (purpose, phase) = (memory::Purpose::Body, memory::Phase::Receiving);
     let share = frontend.memory.share(purpose, phase, started);
-    let body = match read_body(frontend, conn, &request, limits, &share).await {
+    let body = match read_body(frontend, conn, &request, limits, (&share, conn_share)).await {
         Ok(Body::Whole(body)) => body,
         Ok(Body::TooLarge) => {
             log_too_long(frontend, &request, &admission.route, limits);
             let rejection = Rejection::Status(http::StatusCode::PAYLOAD_TOO_LARGE);
             return deliver(frontend, conn, rejection.reply(), Persistence::Close, source).await;
         }
-        Ok(Body::NoMemory) => {
+        Ok(Body::Dropped) => {
             drop(share);
             metrics::counter!("basilhaven_bodies_refused_total").increment(1);
             tracing::info!(
--- a/crates/basilhaven/src/gateway/frontend/request_body.rs
+++ b/crates/basilhaven/src/gateway/frontend/request_body.rs
@@ -84,17 +84,18 @@
     Whole(body::Held),
     /// It exceeds the configured limit.
     TooLarge,
-    /// There is no memory for it.
-    NoMemory,
+    /// It was dropped in favour of others, or there is no memory for it.
+    Dropped,
 }
 
-/// Reads the request body into memory that `share` counts.
+/// Reads the request body into memory that `share` counts. Until it is whole no call has begun, and
+/// the connection, which `conn_share` counts, may be dropped.
 pub(super) async fn read_body(
     frontend: &Frontend,
     conn: &mut http1::Conn,
     request: &head::Request,
     limits: &route::Limits,
-    share: &memory::Share,
+    (share, conn_share): (&memory::Share, &memory::Share),
 ) -> Result<Body, http1::Error> {
     let mut reader = body::Reader::new(request.framing);
     if reader.is_done() {
@@ -109,7 +110,9 @@
             if collector.len() + piece.len() > limits.max_body_len {
                 return Ok(Body::TooLarge);
             }
-            share.record_received(piece.len(), Instant::now());
+            let now = Instant::now();
+            share.record_received(piece.len(), now);
+            conn_share.record_received(piece.len(), now);
             if collector.len() > shaper::UNSHAPED_LEN && frontend.active_calls.get() > 1 {
                 frontend.inbound.wait(piece.len()).await;
             }
@@ -118,7 +121,7 @@
                     let missing = reader.missing().map(|missing| missing + piece.len() as u64);
                     let len = collector.next_block_len(missing);
                     if share.acquire(len).await.is_err() {
-                        return Ok(Body::NoMemory);
+                        return Ok(Body::Dropped);
                     }
                     collector.add_block(len);
                 }
@@ -127,12 +130,24 @@
         }
         Ok(Body::Whole(collector.finish()))
     };
-    let read_all = std::pin::pin!(monoio::time::timeout(BODY_TIMEOUT, read_all));
-    match future::select(read_all, std::pin::pin!(share.dropped())).await {
-        Either::Left((Ok(result), _)) => result,
-        Either::Left((Err(_), _)) => Err(http1::Error::cut_short("body took too long")),
-        Either::Right(_) => Ok(Body::NoMemory),
-    }
+    conn_share.set_phase(memory::Phase::Receiving);
+    let result = {
+        let read_all = std::pin::pin!(monoio::time::timeout(BODY_TIMEOUT, read_all));
+        let body_dropped = std::pin::pin!(share.dropped());
+        let conn_dropped = std::pin::pin!(conn_share.dropped());
+        let dropped = future::select(body_dropped, conn_dropped);
+        match future::select(read_all, dropped).await {
+            // The connection that is accepted in favour of a dropped one does not wait for a call.
+            Either::Left((Ok(Ok(Body::Whole(_))), _)) if conn_share.is_dropped() => {
+                Ok(Body::Dropped)
+            }
+            Either::Left((Ok(result), _)) => result,
+            Either::Left((Err(_), _)) => Err(http1::Error::cut_short("body took too long")),
+            Either::Right(_) => Ok(Body::Dropped),
+        }
+    };
+    conn_share.set_phase(memory::Phase::Serving);
+    result
 }
 
 pub(super) fn log_too_long(
--- a/crates/basilhaven/src/gateway/memory.rs
+++ b/crates/basilhaven/src/gateway/memory.rs
@@ -341,7 +341,7 @@
 
     /// Accepts a connection, once there is room for it. Returns `None` if it is to be closed.
     pub async fn accept(self: &Rc<Budget>, stream: &impl AsRawFd) -> Option<Share> {
-        let fd = usize::try_from(stream.as_raw_fd()).unwrap_or_default();
+        let mut fd = usize::try_from(stream.as_raw_fd()).unwrap_or_default();
         loop {
             let seen = self.released.count();
             match self.admit_connection(fd, Instant::now()) {
@@ -350,7 +350,11 @@
                     share.holder.unread.set(self.unread.grant());
                     return Some(share);
                 }
-                Decision::Wait => self.released.wait_timeout(seen, ROOM_TIMEOUT).await,
+                Decision::Wait => {
+                    self.released.wait_timeout(seen, ROOM_TIMEOUT).await;
+                    // One descriptor less is open than this one's number tells.
+                    fd = fd.saturating_sub(1);
+                }
                 Decision::Denied => {
                     metrics::counter!("basilhaven_connections_refused_total").increment(1);
                     tracing::debug!(event = "connection_refused");
@@ -371,8 +375,9 @@
         }
     }
 
-    /// Decides whether one more connection may be kept, whose descriptor has this number. The
-    /// connection that has waited longest for a request is closed in its favour.
+    /// Decides whether one more connection may be kept, whose descriptor has this number. One that
+    /// waits for a request is closed in its favour, or else one whose head or body does not arrive,
+    /// each time the one that has waited longest.
     ///
     /// A descriptor gets the lowest free number, so the number tells how many are open.
     pub fn admit_connection(&self, fd: usize, now: Instant) -> Decision {
@@ -387,12 +392,14 @@
         if connections().any(|holder| holder.is_dropped.get()) {
             return Decision::Wait;
         }
-        let idle_time = |holder: &&Rc<Holder>| {
-            let is_idle = holder.bytes.get() == 0;
-            (is_idle, now.saturating_duration_since(holder.window.get().0), holder.number)
+        let rank = |holder: &&Rc<Holder>| {
+            let waited = now.saturating_duration_since(holder.window.get().0);
+            // The request of a connection that was just accepted may be on its way.
+            let is_idle = holder.bytes.get() == 0 && waited >= STALL_TIME;
+            (is_idle, waited, holder.number)
         };
         let droppable = connections().filter(|holder| holder.is_droppable());
-        match droppable.max_by_key(idle_time) {
+        match droppable.max_by_key(rank) {
             Some(victim) => {
                 metrics::counter!("basilhaven_connections_dropped_total").increment(1);
                 victim.drop_bytes(self);
--- a/crates/basilhaven/tests/gateway/memory.rs
+++ b/crates/basilhaven/tests/gateway/memory.rs
@@ -219,6 +219,36 @@
     assert_eq!(budget.admit_connection(100, now), Decision::Denied);
 }
 
+/// Load: a crowd whose bodies never end. Guards against a host that refuses all new connections, and
+/// against one that closes a connection before its request can arrive, or while its body does.
+#[test]
+fn connections_whose_bodies_have_stalled_are_closed_for_new_ones() {
+    let start = Instant::now();
+    let fill = |budget: &Rc<Budget>, max: usize| -> Vec<Share> {
+        let admitted =
+            (0..max).take_while(|_| budget.admit_connection(100, start) == Decision::Granted);
+        admitted.map(|_| receiving(budget, Purpose::Connection, start)).collect()
+    };
+    // The connection after the last one makes another one be closed.
+    let max = fill(&budget(), usize::MAX).len();
+    assert!(max > 1000, "{max}");
+    let budget = budget();
+    let crowd = fill(&budget, max - 1);
+    let later = start + Duration::from_millis(500);
+    for share in &crowd {
+        assert_eq!(share.grow(4 * 1024, later), Decision::Granted);
+    }
+    let now = start + Duration::from_millis(1500);
+    crowd[0].record_received(16 * 1024, now);
+    let accepted = receiving(&budget, Purpose::Connection, now);
+    assert_eq!(budget.admit_connection(100, now), Decision::Wait);
+    assert!(!accepted.is_dropped(), "a connection was closed before its request could arrive");
+    let mut dropped: Vec<usize> =
+        (0..crowd.len()).filter(|&number| crowd[number].is_dropped()).collect();
+    assert_eq!(dropped.len(), 1);
+    assert_ne!(dropped.pop(), Some(0), "the connection whose body arrives was closed");
+}
+
 /// Guards against connections to upstreams and other hosts that take the descriptors unseen.
 #[test]
 fn a_high_descriptor_closes_an_idle_connection() {
