Count an upstream's unproven refusal as a failure of the upstream

Callers of the other hosts met the same upstream.

Cause: a response counted as a failure from status 500 on. An upstream that runs calls and fails them with 408 or 429, without the mark of a call that was not run, got the credit of a success for each, and its immediate responses counted as served calls. Idempotent calls were not sent to another upstream.

Ruled out: refusals of the hosts (two in all logs).

Change: attempt::Response::is_failure is the one definition, a server error or one of the four statuses of refusal, for the upstream's cost, for sending again within the retry budget, and for the evidence of moves. The new test of refusals failed before (the first idempotent calls got 408).

--- a/crates/basilhaven-bench/tests/gateway/refusals.rs
+++ b/crates/basilhaven-bench/tests/gateway/refusals.rs
@@ -61,6 +61,27 @@
     });
 }
 
+// Guards against an upstream that fails each call at once with 408 or 429, which counted as sound:
+// it went on getting its share of the calls, and idempotent ones were not sent again.
+#[test]
+fn an_upstream_that_fails_with_a_refusal_is_avoided() {
+    block_on(async {
+        for status in UNPROVEN {
+            let failing = Behaviour::FailsWith(status, Content::Short);
+            let fixture = Fixture::start(&[failing, PROMPT, PROMPT]).await;
+            let call = |method, path, id: &str| fixture.host.call(method, path, id).unwrap().status;
+            for number in 0..20 {
+                let served = call("GET", "/safe/1", &format!("s-{number}"));
+                assert_eq!(served, 200, "{status}: idempotent call {number}");
+            }
+            let failed = (0..60)
+                .filter(|number| call("POST", "/unsafe/1", &format!("u-{number}")) != 200)
+                .count();
+            assert!(failed <= 5, "{status}: {failed} of 60 calls failed");
+        }
+    });
+}
+
 /// Answers calls that are passed on as a host does whose upstream ran them and sent this status.
 fn serve_calls(mut stream: TcpStream, status: u16, result: &str) -> io::Result<()> {
     let mut len = [0; 4];
--- a/crates/basilhaven/src/gateway/attempt.rs
+++ b/crates/basilhaven/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use http::header::{self, HeaderMap, HeaderValue};
 
-use super::{history, memory, protocol, shaper, upstream};
+use super::{history, memory, protocol, reply, shaper, upstream};
 use crate::http1::{self, body, head};
 use crate::profile;
 
@@ -112,6 +112,12 @@
             leaving: None,
         }
     }
+
+    /// Returns whether the upstream has failed the call: with a server error, or with a
+    /// [refusal](reply::is_refusal), which an upstream proves if it has not run the call.
+    pub fn is_failure(&self) -> bool {
+        self.status.is_server_error() || reply::is_refusal(self.status)
+    }
 }
 
 /// The unread remainder of a long response body.
--- a/crates/basilhaven/src/gateway/frontend/attempts.rs
+++ b/crates/basilhaven/src/gateway/frontend/attempts.rs
@@ -228,7 +228,7 @@
         match outcome {
             attempt::Outcome::Answered(response) => {
                 progress.attempts += 1;
-                let has_failed = response.status.is_server_error();
+                let has_failed = response.is_failure();
                 if !has_failed {
                     permit.upstream.record_success(now);
                     self.queue.record_latency(route, permit.cost, sent_at.elapsed());
@@ -405,7 +405,7 @@
     took: Duration,
 ) {
     let failed = match outcome {
-        attempt::Outcome::Answered(response) => response.status.is_server_error(),
+        attempt::Outcome::Answered(response) => response.is_failure(),
         attempt::Outcome::NotRun(_) => return,
         // The links of this host are cut, which tells nothing of the version.
         attempt::Outcome::Unknown(_) if frontend.balancer.is_lost(service) => return,
