Split receive buffers and bodies in transit out of gateway::memory

The latter two are modules of their own now, with their constants; the names for other modules stay.

--- a/crates/basilhaven/src/gateway/memory.rs
+++ b/crates/basilhaven/src/gateway/memory.rs
@@ -16,6 +16,11 @@
 use super::notify;
 use crate::http1;
 
+mod transit;
+mod unread;
+
+pub use transit::{max_transit_len, InTransit, Transit};
+
 /// The part of the process's memory that callers' bytes may take. The rest is for the program, the
 /// list of upstreams, the other hosts, connections by themselves, what the operating system has
 /// received and nobody has read, and the allocator's losses. A body of 64 MiB has to fit on a host of
@@ -43,11 +48,8 @@
 pub const RECEIVE_LEN: usize = 128 * 1024;
 
 /// The part of the process's memory that the operating system may fill with bytes that were received
-/// on callers' connections and are not read yet. A part of it is divided equally among all
-/// connections that are admitted at most; each one gets another part of what is left of the rest.
+/// on callers' connections and are not read yet.
 const UNREAD_SHARE: f64 = 0.12;
-const UNREAD_SHARE_OF_ALL: f64 = 0.25;
-const UNREAD_SHARE_OF_ONE: f64 = 1.0 / 64.0;
 
 /// The part of the process's memory that callers' connections may take by themselves, and what one
 /// of them takes besides its bytes, mostly for its task.
@@ -174,57 +176,6 @@
     }
 }
 
-/// The receive buffers of callers' connections.
-///
-/// Answers load of more connections than the memory has room for if each has as long a buffer as a
-/// single one needs. A connection takes its length from the listener when it is established. The
-/// operating system receives up to twice that length.
-#[derive(Debug, Default)]
-struct Unread {
-    /// The length that each connection has at least.
-    min_len: usize,
-    /// What all connections together may have beyond that; `None` without a bound.
-    spare: Option<Cell<usize>>,
-    /// The length for connections that are established now.
-    len: Cell<usize>,
-}
-
-impl Unread {
-    /// Divides what may be received in all among at most so many connections.
-    fn new(received: Option<usize>, max_connections: Option<usize>) -> Unread {
-        let Some(received) = received else { return Unread::default() };
-        let bytes = received / 2;
-        let Some(max) = max_connections else {
-            return Unread { min_len: RECEIVE_LEN, ..Unread::default() };
-        };
-        let min_len = ((bytes as f64 * UNREAD_SHARE_OF_ALL) as usize / max).min(RECEIVE_LEN);
-        Unread { min_len, spare: Some(Cell::new(bytes - min_len * max)), len: Cell::default() }
-    }
-
-    /// Returns the length for the connections that are established next if it has changed.
-    fn take_change(&self) -> Option<usize> {
-        let spare = self.spare.as_ref().map_or(0, Cell::get) as f64;
-        let len = (self.min_len + (spare * UNREAD_SHARE_OF_ONE) as usize).min(RECEIVE_LEN);
-        (self.len.replace(len) != len).then_some(len)
-    }
-
-    /// Counts a connection that was established with the present length, which is returned.
-    fn grant(&self) -> usize {
-        let len = self.len.get();
-        if let Some(spare) = &self.spare {
-            spare.set(spare.get().saturating_sub(len.saturating_sub(self.min_len)));
-        }
-        len
-    }
-
-    /// Gives back the length of a connection that has ended.
-    fn give_back(&self, len: usize) {
-        if let Some(spare) = &self.spare {
-            spare.set(spare.get() + len.saturating_sub(self.min_len));
-        }
-    }
-}
-
 /// Decides who may hold bytes and connections.
 ///
 /// Answers load of clients that nobody controls: many large bodies at once, most of which never
@@ -261,7 +212,7 @@
     next_number: Cell<u64>,
     open_connections: Cell<usize>,
     held: [Cell<usize>; Purpose::ALL.len()],
-    unread: Unread,
+    unread: unread::Buffers,
     /// Notified when bytes or connections are released, and when a holder is dropped.
     pub released: notify::Notifier,
 }
@@ -277,7 +228,7 @@
             of_fds.map(|fds| of_memory.map_or(fds, |max| max.min(fds)).max(MIN_CONNECTIONS));
         Budget {
             limit: part(MEMORY_SHARE),
-            unread: Unread::new(part(UNREAD_SHARE), max_connections),
+            unread: unread::Buffers::new(part(UNREAD_SHARE), max_connections),
             max_connections,
             max_fd: fds.map(|fds| fds.saturating_sub(SPARE_FDS).max(MIN_CONNECTIONS)),
             holders: RefCell::default(),
@@ -617,63 +568,3 @@
         self.budget.released.notify();
     }
 }
-
-/// Bytes that all hosts together may have in transit to one upstream under any configuration. With
-/// less, an ordinary upload of 60 kB would wait for another one at each of some 100 hosts.
-const MIN_TRANSIT_LEN: usize = 16 * 1024 * 1024;
-
-/// Returns how many bytes of request bodies this host may have in transit to one upstream, if all
-/// hosts together may have as much as the longest legal body: an upstream has to be able to hold
-/// that.
-pub fn max_transit_len(max_body_len: usize, budget_share: f64) -> usize {
-    (max_body_len.max(MIN_TRANSIT_LEN) as f64 * budget_share) as usize
-}
-
-/// The request bodies that this host has in transit to one upstream.
-///
-/// Answers load of large bodies for one upstream, which ends if the requests that it holds exceed
-/// its memory.
-#[derive(Debug, Default)]
-pub struct Transit {
-    bytes: Cell<usize>,
-    released: notify::Notifier,
-}
-
-impl Transit {
-    /// Counts a body if there is room for it, which there always is for a single one. Small ones
-    /// are not counted, so that an ordinary call does not wait for a large one.
-    pub fn try_enter(&self, len: usize, max: usize) -> Option<InTransit<'_>> {
-        let len = if len <= SMALL_LEN { 0 } else { len };
-        let bytes = self.bytes.get();
-        let is_free = len == 0 || bytes == 0 || bytes.saturating_add(len) <= max;
-        is_free.then(|| {
-            self.bytes.set(bytes + len);
-            InTransit { transit: self, len }
-        })
-    }
-
-    /// Counts a body once there is room for it.
-    pub async fn enter(&self, len: usize, max: usize) -> InTransit<'_> {
-        loop {
-            let seen = self.released.count();
-            match self.try_enter(len, max) {
-                Some(entered) => return entered,
-                None => self.released.wait(seen).await,
-            }
-        }
-    }
-}
-
-/// A body that is counted as in transit until this is dropped.
-#[derive(Debug)]
-pub struct InTransit<'a> {
-    transit: &'a Transit,
-    len: usize,
-}
-
-impl Drop for InTransit<'_> {
-    fn drop(&mut self) {
-        self.transit.bytes.set(self.transit.bytes.get() - self.len);
-        self.transit.released.notify();
-    }
-}
