Let the fault last in the test of moves while both versions fail

Cause: the test ended the fault right after the move was suspended. How long the test's fault lasted depended on the machine.

Change: the fault lasts for 2 s and 100 calls of the old version. All assertions stay, and "calls reach the new version" now covers these 2 s.

--- a/crates/basilhaven-bench/tests/gateway/orders.rs
+++ b/crates/basilhaven-bench/tests/gateway/orders.rs
@@ -12,6 +12,12 @@
 /// The time within which an order has to be in force, the default of `--orders-within-s`.
 const ORDERS_WITHIN: Duration = Duration::from_secs(2);
 
+/// How long both versions of a move fail, and the calls that the old one gets until then. After a
+/// fault of about a second, or of few calls, those that the old version serves next show at once
+/// that a version which fails all calls is worse.
+const FAULT_DURATION: Duration = Duration::from_secs(2);
+const FAULT_CALLS: usize = 100;
+
 fn is_served(fixture: &Fixture, id: &str) -> bool {
     fixture.host.call("GET", "/safe/1", id).is_ok_and(|response| response.status == 200)
 }
@@ -196,8 +202,12 @@
             has_logged("move_suspended")
         })
         .await;
-        let before = new.executed_ids().len();
-        send();
+        let (before, suspended) = (new.executed_ids().len(), Instant::now());
+        wait_until("the fault has lasted for a while", || {
+            send();
+            suspended.elapsed() >= FAULT_DURATION && failing.executed_ids().len() >= FAULT_CALLS
+        })
+        .await;
         assert_eq!(new.executed_ids().len(), before, "calls reach the new version");
         assert!(report().is_some_and(|r| r.contains("running")));
         let sound = Upstream::start("i-sound", PROMPT);
