Compare cut hosts in the soak with others of the same time

Cause: a false finding. Calls at a cut host were counted from 3 s after its cut on, those at other hosts during all cuts. In the log one upstream was left from 4.2 to 6.6 s (an evacuation, a named rate), and from 4.6 s it failed each call, at all hosts; before that the others were served. Nobody could have been served then.

Change: each cut is compared with the calls at other hosts in the time in which its own are counted, and the sum over all cuts is held against the same two thirds. A cut without such calls is compared as before, with those of the other cuts.

--- a/crates/basilhaven-bench/src/soak/check.rs
+++ b/crates/basilhaven-bench/src/soak/check.rs
@@ -279,6 +279,10 @@
 
 /// Checks that first tries at hosts that are cut from all upstreams are served nearly as often as
 /// those at the other hosts (`RECOVER` of the users' rules).
+///
+/// Each cut is compared with the other hosts' calls of the same time, from which on a cut host has to
+/// serve: the upstreams may serve more, or fewer, at other times. A cut at a time without such calls
+/// is compared with those of the other cuts.
 fn check_cuts<F>(records: &[Record], history: &History, report: &mut F)
 where
     F: FnMut(&'static str, String),
@@ -286,36 +290,68 @@
     let is_cut = |host: usize, from: Instant, to: Instant| {
         history.cuts.iter().any(|(own, span)| *own == host && span.overlaps(from, to))
     };
-    let is_cut_for_long = |record: &Record| {
-        let is_past = |span: &Span| {
-            span.from + RECONNECT_TIMEOUT < record.sent
-                && span.to.is_none_or(|end| end > record.sent)
-        };
-        history.cuts.iter().any(|(own, span)| *own == record.host && is_past(span))
-    };
-    let (mut cut, mut others) = ((0usize, 0usize), (0usize, 0usize));
-    let long_cuts: Vec<&Span> = history.cuts.iter().map(|(_, span)| span).collect();
-    for record in records.iter().filter(|r| is_host_undisturbed(r, Duration::ZERO, history)) {
-        let Some(from) = record.sent.checked_sub(RECONNECT_TIMEOUT) else { continue };
-        let served = usize::from(record.status() == 200);
-        if is_cut_for_long(record) {
-            cut = (cut.0 + 1, cut.1 + served);
-        } else if !is_cut(record.host, from, record.ended)
-            && long_cuts.iter().any(|span| span.overlaps(from, record.sent))
-        {
-            others = (others.0 + 1, others.1 + served);
+    let undisturbed: Vec<&Record> =
+        records.iter().filter(|r| is_host_undisturbed(r, Duration::ZERO, history)).collect();
+    let served_during = |host: usize, span: &Span| {
+        let (mut cut, mut others) = (Served::default(), Served::default());
+        for record in &undisturbed {
+            let Some(from) = record.sent.checked_sub(RECONNECT_TIMEOUT) else { continue };
+            if from <= span.from || span.to.is_some_and(|end| end <= record.sent) {
+                continue;
+            }
+            if record.host == host {
+                cut.add(record);
+            } else if !is_cut(record.host, from, record.ended) {
+                others.add(record);
+            }
         }
+        (cut, others)
+    };
+    let by_cut: Vec<(Served, Served)> =
+        history.cuts.iter().map(|(host, span)| served_during(*host, span)).collect();
+    let (mut cut, mut others) = (Served::default(), Served::default());
+    for (of_cut, of_others) in &by_cut {
+        cut.merge(of_cut);
+        others.merge(of_others);
     }
-    let rate = |(count, served): (usize, usize)| served as f64 / count.max(1) as f64;
-    let failed = cut.0 - cut.1;
-    if others.0 > 0 && rate(cut) < rate(others) * 2.0 / 3.0 && failed > 10 + (cut.0 + others.0) / 50
-    {
-        let details =
-            format!("{} of {} served, of others {} of {}", cut.1, cut.0, others.1, others.0);
+    let expected_of = |(of_cut, of_others): &(Served, Served)| {
+        let comparable = if of_others.all > 0 { of_others } else { &others };
+        of_cut.all as f64 * comparable.share()
+    };
+    let expected: f64 = by_cut.iter().map(expected_of).sum();
+    let failed = cut.all - cut.served;
+    if (cut.served as f64) < expected * 2.0 / 3.0 && failed > 10 + (cut.all + others.all) / 50 {
+        let details = format!(
+            "{} of {} served, {expected:.0} expected; of others {} of {}",
+            cut.served, cut.all, others.served, others.all
+        );
         report("callers of hosts that are cut from all upstreams are served", details);
     }
 }
 
+/// How many of some calls were served.
+#[derive(Debug, Default)]
+struct Served {
+    all: usize,
+    served: usize,
+}
+
+impl Served {
+    fn add(&mut self, record: &Record) {
+        self.all += 1;
+        self.served += usize::from(record.status() == 200);
+    }
+
+    fn merge(&mut self, other: &Served) {
+        self.all += other.all;
+        self.served += other.served;
+    }
+
+    fn share(&self) -> f64 {
+        self.served as f64 / self.all.max(1) as f64
+    }
+}
+
 /// Checks that an upstream that says in its responses that it leaves gets no calls through a host
 /// that has passed on such a response long enough before.
 fn check_leaving<F>(
