Derive the framing of a body from its length in one place

Five places matched on the length of a body to tell an empty one from one of known length, three of them in responses of this host, one in requests to the store and one in bodies that are held. Framing::of_len is the one of them now.

--- a/crates/basilhaven/src/entry/mod.rs
+++ b/crates/basilhaven/src/entry/mod.rs
@@ -294,10 +294,7 @@
     content: Bytes,
     persistence: Persistence,
 ) -> Result<Persistence, http1::Error> {
-    let framing = match content.len() as u64 {
-        0 => body::Framing::Empty,
-        len => body::Framing::Length(len),
-    };
+    let framing = body::Framing::of_len(content.len());
     let encoded =
         head::encode_response(status, &headers, framing, persistence == Persistence::Reuse);
     let mut message = bytes::BytesMut::from(&encoded[..]);
--- a/crates/basilhaven/src/gateway/directory.rs
+++ b/crates/basilhaven/src/gateway/directory.rs
@@ -136,10 +136,7 @@
         let response = respond(&request.parts);
         let mut headers = HeaderMap::new();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(response.content_type));
-        let framing = match response.body.len() as u64 {
-            0 => body::Framing::Empty,
-            len => body::Framing::Length(len),
-        };
+        let framing = body::Framing::of_len(response.body.len());
         let encoded = head::encode_response(response.status, &headers, framing, keeps_alive);
         let mut message = BytesMut::from(&encoded[..]);
         message.extend_from_slice(&response.body);
--- a/crates/basilhaven/src/gateway/frontend/response.rs
+++ b/crates/basilhaven/src/gateway/frontend/response.rs
@@ -89,10 +89,7 @@
     persistence: Persistence,
     share: &memory::Share,
 ) -> Result<Persistence, http1::Error> {
-    let framing = match content.len() as u64 {
-        0 => body::Framing::Empty,
-        len => body::Framing::Length(len),
-    };
+    let framing = body::Framing::of_len(content.len());
     let encoded =
         head::encode_response(status, &headers, framing, persistence == Persistence::Reuse);
     if content.len() > MAX_JOINED_LEN {
--- a/crates/basilhaven/src/http1/body.rs
+++ b/crates/basilhaven/src/http1/body.rs
@@ -20,6 +20,25 @@
     UntilClose,
 }
 
+impl Framing {
+    /// Returns the framing of a body of this length in bytes.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use basilhaven::http1::body::Framing;
+    ///
+    /// assert_eq!(Framing::of_len(0), Framing::Empty);
+    /// assert_eq!(Framing::of_len(4), Framing::Length(4));
+    /// ```
+    pub fn of_len(len: usize) -> Framing {
+        match len as u64 {
+            0 => Framing::Empty,
+            len => Framing::Length(len),
+        }
+    }
+}
+
 /// Maximum length in bytes of a chunk-size line or a trailer line.
 const MAX_LINE_LEN: usize = 256;
 
@@ -278,10 +297,7 @@
 
     /// Returns how the body is framed in a message.
     pub fn framing(&self) -> Framing {
-        match self.len as u64 {
-            0 => Framing::Empty,
-            len => Framing::Length(len),
-        }
+        Framing::of_len(self.len)
     }
 
     /// Returns the blocks of the body, in order.
--- a/crates/basilhaven/src/http1/client.rs
+++ b/crates/basilhaven/src/http1/client.rs
@@ -69,10 +69,7 @@
     if !headers.contains_key(http::header::HOST) {
         headers.insert(http::header::HOST, HeaderValue::from_static("basilhaven"));
     }
-    let framing = match request.body.len() as u64 {
-        0 => body::Framing::Empty,
-        len => body::Framing::Length(len),
-    };
+    let framing = body::Framing::of_len(request.body.len());
     let encoded = head::encode_request(&request.method, &request.target, &headers, framing);
     let mut message = BytesMut::from(&encoded[..]);
     message.extend_from_slice(&request.body);
