Set the receive buffer of a socket in one place

The listener of other hosts, the listener of callers and a connection with a long response each set the socket option themselves. http1::conn::limit_receive_buffer does it for all three.

No change of behaviour: lints pass, and the tests clients (14), endless (8), busy and http1 (11) held.

--- a/crates/basilhaven/src/gateway/memory.rs
+++ b/crates/basilhaven/src/gateway/memory.rs
@@ -11,7 +11,6 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use nix::sys::socket;
 
 use super::notify;
 use crate::http1;
@@ -319,8 +318,7 @@
     /// it is read.
     pub fn limit_unread(&self, listener: &impl AsRawFd) {
         if let Some(len) = self.unread.take_change() {
-            let option = socket::sockopt::RcvBuf;
-            if let Err(error) = socket::setsockopt(listener.as_raw_fd(), option, &len) {
+            if let Err(error) = http1::conn::limit_receive_buffer(listener, len) {
                 tracing::warn!(event = "receive_buffer_not_limited", %error);
             }
         }
--- a/crates/basilhaven/src/gateway/run.rs
+++ b/crates/basilhaven/src/gateway/run.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
-use std::os::fd::AsRawFd as _;
 use std::os::unix::net::UnixStream as StdUnixStream;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -18,7 +17,7 @@
     balancer, cluster, coordinator, directory, forward, frontend, memory, probe, protocol, reach,
     registry, relay, retries, settings, shaper, store, updates, usage,
 };
-use crate::{daemon, finding, log};
+use crate::{daemon, finding, http1, log};
 
 /// Length of the queue of connections that are not accepted yet.
 const BACKLOG: i32 = 1024;
@@ -123,9 +122,7 @@
 {
     let sockets = bind(&settings)?;
     if settings.limits.memory.is_some() {
-        // Accepted connections take the option from the listener.
-        let option = nix::sys::socket::sockopt::RcvBuf;
-        nix::sys::socket::setsockopt(sockets.relay.as_raw_fd(), option, &memory::RECEIVE_LEN)
+        http1::conn::limit_receive_buffer(&sockets.relay, memory::RECEIVE_LEN)
             .expect("a socket option of a listening socket");
     }
     let stop = signal_stream(&[signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT]);
--- a/crates/basilhaven/src/http1/conn.rs
+++ b/crates/basilhaven/src/http1/conn.rs
@@ -26,6 +26,20 @@
 /// Number of written bytes that are a unit of work.
 const WRITTEN_PER_UNIT: usize = 4 * 1024;
 
+/// Limits the bytes that the operating system receives on a socket before they are read. The
+/// connections that a listener accepts take its limit.
+///
+/// # Errors
+///
+/// Returns an error if the socket option cannot be set.
+pub fn limit_receive_buffer<S>(socket: &S, len: usize) -> io::Result<()>
+where
+    S: AsRawFd,
+{
+    socket::setsockopt(socket.as_raw_fd(), socket::sockopt::RcvBuf, &len)?;
+    Ok(())
+}
+
 /// A connection of a client or server, with the bytes that were read but not yet consumed.
 #[derive(Debug)]
 pub struct Conn {
@@ -420,8 +434,7 @@
     ///
     /// Returns an error if the socket option cannot be set.
     pub fn limit_receive_buffer(&self, len: usize) -> io::Result<()> {
-        let result = socket::setsockopt(self.stream.as_raw_fd(), socket::sockopt::RcvBuf, &len);
-        result.map_err(io::Error::from)
+        limit_receive_buffer(&self.stream, len)
     }
 
     /// Returns `true` if the buffer holds bytes that do not belong to any message read so far.
