Write heads, unfinished bodies and senders once in tests and stand-ins

The stand-in wrote the head of a response in three ways, the clients' crowds built the same message in four tests, both tests of busy set up the same runtime and sender, and the directory's target stood in two places. Each is one function or constant now. No assertion, length or bound was changed.

--- a/crates/basilhaven-bench/src/gateway.rs
+++ b/crates/basilhaven-bench/src/gateway.rs
@@ -19,6 +19,9 @@
 /// The second service in the configuration.
 pub const OTHER_SERVICE: &str = "spedizioni";
 
+/// The request target at which a directory names the hosts to callers in data centre `a`.
+pub const RESOLVE_PATH: &str = "/resolve?Name=shop.example&Region=r&Zone=a";
+
 /// A response as a caller receives it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Response {
@@ -172,7 +175,7 @@
 
     /// Returns the hosts that its directory advertises; none if it does not respond.
     pub fn resolve(&self) -> Vec<SocketAddr> {
-        let Ok(response) = get(self.directory, "/resolve?Name=shop.example&Region=r&Zone=a") else {
+        let Ok(response) = get(self.directory, RESOLVE_PATH) else {
             return Vec::new();
         };
         let resolved: serde_json::Value = serde_json::from_str(&response.body).unwrap_or_default();
--- a/crates/basilhaven-bench/src/standin/users/mod.rs
+++ b/crates/basilhaven-bench/src/standin/users/mod.rs
@@ -83,12 +83,15 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> io::Result<()> {
-    let mut message = format!("HTTP/1.1 {status} -\r\ncontent-length: {}\r\n", body.len());
-    for (name, value) in headers {
-        message.push_str(&format!("{name}: {value}\r\n"));
-    }
-    message.push_str("\r\n");
-    let mut message = message.into_bytes();
+    let framing = format!("content-length: {}\r\n", body.len());
+    let mut message = response_head(status, &framing, headers).into_bytes();
     message.extend_from_slice(body);
     stream.write_all(&message)
 }
+
+/// Returns the head of a response. `framing` is empty or the line that tells the length of the body.
+fn response_head(status: u16, framing: &str, headers: &[(&str, &str)]) -> String {
+    let fields: String =
+        headers.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
+    format!("HTTP/1.1 {status} -\r\n{framing}{fields}\r\n")
+}
--- a/crates/basilhaven-bench/src/standin/users/upstream.rs
+++ b/crates/basilhaven-bench/src/standin/users/upstream.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use super::{read_request, write_response, Request};
+use super::{read_request, response_head, write_response, Request};
 
 /// The header field with the request id.
 const REQUEST_ID: &str = "x-basilhaven-request-id";
@@ -366,10 +366,7 @@
                 headers.extend(limit.as_deref().map(|limit| (LIMIT, limit)));
                 headers.extend(self.lock().is_leaving.then_some((LEAVING, "1")));
                 if self.lock().behaviour == Behaviour::Endless(Endless::Health) {
-                    let fields = headers.iter().map(|(name, value)| format!("{name}: {value}\r\n"));
-                    let fields: String = fields.collect();
-                    let head = format!("HTTP/1.1 {status} -\r\n{fields}\r\n");
-                    stream.write_all(head.as_bytes())?;
+                    stream.write_all(response_head(status, "", &headers).as_bytes())?;
                     return send_without_end(&mut stream, &[b'x'; 0x1000], Duration::ZERO);
                 }
                 write_response(&mut stream, status, &headers, b"")?;
@@ -522,15 +519,12 @@
             write_response(stream, status, headers, b"failed")?;
             return Ok(true);
         }
-        Content::Medium => (format!("content-length: {MEDIUM_LEN}"), MEDIUM_LEN),
-        Content::Long => (format!("content-length: {LONG_LEN}"), LONG_LEN),
-        Content::Truncated => (format!("content-length: {LONG_LEN}"), LONG_LEN / 2),
-        Content::Endless => ("transfer-encoding: chunked".to_owned(), 0),
+        Content::Medium => (format!("content-length: {MEDIUM_LEN}\r\n"), MEDIUM_LEN),
+        Content::Long => (format!("content-length: {LONG_LEN}\r\n"), LONG_LEN),
+        Content::Truncated => (format!("content-length: {LONG_LEN}\r\n"), LONG_LEN / 2),
+        Content::Endless => ("transfer-encoding: chunked\r\n".to_owned(), 0),
     };
-    let fields: String =
-        headers.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
-    let head = format!("HTTP/1.1 {status} -\r\n{framing}\r\n{fields}\r\n");
-    stream.write_all(head.as_bytes())?;
+    stream.write_all(response_head(status, &framing, headers).as_bytes())?;
     if content == Content::Endless {
         send_without_end(stream, endless_chunks().as_bytes(), Duration::ZERO)?;
     }
--- a/crates/basilhaven-bench/tests/clients.rs
+++ b/crates/basilhaven-bench/tests/clients.rs
@@ -187,6 +187,13 @@
     head.into_bytes()
 }
 
+/// Returns a client's request with a body of `len` bytes, of which it sends `sent_len`.
+fn with_body(client: usize, len: usize, sent_len: usize) -> Vec<u8> {
+    let mut message = head(client, &format!("Content-Length: {len}"));
+    message.resize(message.len() + sent_len, b'x');
+    message
+}
+
 /// Returns how much of a body of `len` bytes a client sends.
 fn sent_len(client: usize, len: usize) -> usize {
     if client.is_multiple_of(CLIENTS / COMPLETE_CLIENTS) {
@@ -219,9 +226,7 @@
     run_alone(async {
         let fixture = Fixture::start(MAX_BODY_LEN).await;
         let crowd = play(fixture.host.callers, CLIENTS, |client| {
-            let mut message = head(client, &format!("Content-Length: {MAX_BODY_LEN}"));
-            message.resize(message.len() + sent_len(client, MAX_BODY_LEN), b'x');
-            vec![message]
+            vec![with_body(client, MAX_BODY_LEN, sent_len(client, MAX_BODY_LEN))]
         });
         fixture.check(crowd).await;
     });
@@ -330,11 +335,8 @@
 fn a_crowd_whose_bodies_never_end_keeps_nobody_out() {
     run_alone(async {
         let fixture = Fixture::start(MAX_BODY_LEN).await;
-        let crowd = play(fixture.host.callers, CONNECTIONS, |client| {
-            let mut message = head(client, "Content-Length: 4096");
-            message.resize(message.len() + 4095, b'x');
-            vec![message]
-        });
+        let crowd =
+            play(fixture.host.callers, CONNECTIONS, |client| vec![with_body(client, 4096, 4095)]);
         let mut callers: Vec<TcpStream> =
             (0..CALLERS).map(|_| fixture.host.open().expect("a listening gateway")).collect();
         for (number, stream) in callers.iter_mut().enumerate() {
@@ -404,11 +406,8 @@
         let is_sent = || fixture.host.process.event_count("sent") >= callers.len();
         wait_until("the calls are answered", is_sent).await;
         fixture.upstream.set_behaviour(Behaviour::Serves(Duration::ZERO));
-        let crowd = play(fixture.host.callers, CONNECTIONS, |client| {
-            let mut message = head(client, "Content-Length: 1000");
-            message.resize(message.len() + 999, b'x');
-            vec![message]
-        });
+        let crowd =
+            play(fixture.host.callers, CONNECTIONS, |client| vec![with_body(client, 1000, 999)]);
         for stream in &mut callers {
             let response = receive(stream).expect("a response");
             assert_eq!((response.status, response.body.len()), (500, MEDIUM_LEN));
@@ -425,8 +424,7 @@
     run_alone(async {
         let fixture = Fixture::start(LARGEST_BODY_LEN).await;
         let mut stream = fixture.host.open().expect("a listening gateway");
-        let mut message = head(0, &format!("Content-Length: {LARGEST_BODY_LEN}"));
-        message.resize(message.len() + LARGEST_BODY_LEN, b'x');
+        let message = with_body(0, LARGEST_BODY_LEN, LARGEST_BODY_LEN);
         stream.write_all(&message).expect("a gateway that reads the body");
         let response = receive(&mut stream).expect("a response");
         assert_eq!(response.status, 200, "{response:?}");
--- a/crates/basilhaven-bench/tests/gateway/pipelining.rs
+++ b/crates/basilhaven-bench/tests/gateway/pipelining.rs
@@ -4,6 +4,7 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
+use basilhaven_bench::gateway::RESOLVE_PATH;
 use basilhaven_bench::process::Signal;
 use basilhaven_bench::standin::block_on;
 use basilhaven_bench::standin::users::upstream::Behaviour;
@@ -115,7 +116,7 @@
         let host = &fixture.host;
         let floods = [
             (host.callers, "/gone/1"),
-            (host.directory, "/resolve?Name=shop.example&Region=r&Zone=a"),
+            (host.directory, RESOLVE_PATH),
             (host.ready, "/readyz"),
             (host.metrics, "/metrics"),
         ];
--- a/crates/basilhaven/tests/busy.rs
+++ b/crates/basilhaven/tests/busy.rs
@@ -1,6 +1,7 @@
 //! Connections on which data keeps arriving leave time for everything else.
 
 use std::cell::Cell;
+use std::future::Future;
 use std::io::Write as _;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -16,23 +17,34 @@
 /// Timers that have to fire one after the other while the bodies are read.
 const TIMERS: usize = 10;
 
+fn run<F>(test: F)
+where
+    F: Future<Output = ()>,
+{
+    let builder = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new();
+    builder.enable_timer().build().unwrap().block_on(test);
+}
+
+/// Accepts a connection of a thread that sends `bytes` so many times behind each other.
+async fn accept_sender(bytes: Vec<u8>, times: usize) -> Conn {
+    let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let mut stream = TcpStream::connect(address).unwrap();
+        // The test may be over before everything is sent.
+        let _ = (0..times).try_for_each(|_| stream.write_all(&bytes));
+    });
+    Conn::new(listener.accept().await.unwrap().0).unwrap()
+}
+
 // Guards against a process that hangs while bodies in very small chunks arrive on many connections:
 // its timers did not fire, so that no time limit was kept and no health check was answered.
 #[test]
 fn timers_fire_while_many_bodies_in_very_small_chunks_arrive() {
-    let builder = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new();
-    builder.enable_timer().build().unwrap().block_on(async {
-        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
-        let address = listener.local_addr().unwrap();
+    run(async {
         let ended = Rc::new(Cell::new(0));
         for _ in 0..CONNECTIONS {
-            std::thread::spawn(move || {
-                let mut stream = TcpStream::connect(address).unwrap();
-                let chunks = b"1\r\nx\r\n".repeat(1000);
-                // The test may be over before everything is sent.
-                let _ = (0..CHUNKS / 1000).try_for_each(|_| stream.write_all(&chunks));
-            });
-            let mut conn = Conn::new(listener.accept().await.unwrap().0).unwrap();
+            let mut conn = accept_sender(b"1\r\nx\r\n".repeat(1000), CHUNKS / 1000).await;
             let ended = Rc::clone(&ended);
             monoio::spawn(async move {
                 let mut reader = body::Reader::new(body::Framing::Chunked);
@@ -54,17 +66,8 @@
 // read without a wait, so that no timer fired and nobody else was served.
 #[test]
 fn timers_fire_while_a_client_pipelines_requests() {
-    let builder = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new();
-    builder.enable_timer().build().unwrap().block_on(async {
-        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
-        let address = listener.local_addr().unwrap();
-        std::thread::spawn(move || {
-            let mut stream = TcpStream::connect(address).unwrap();
-            let requests = REQUEST.repeat(500);
-            // The test may be over before everything is sent.
-            let _ = (0..2000).try_for_each(|_| stream.write_all(&requests));
-        });
-        let mut conn = Conn::new(listener.accept().await.unwrap().0).unwrap();
+    run(async {
+        let mut conn = accept_sender(REQUEST.repeat(500), 2000).await;
         let ended = Rc::new(Cell::new(false));
         let ends = Rc::clone(&ended);
         monoio::spawn(async move {
