Play crowds of clients that make no ordinary calls

Cause: clients that hold connections, memory and time of a host were played by tests of one kind each; neither the load tool nor the soak had them, so ordinary callers beside them were not measured and guarantees not checked under faults.

The code of the product is unchanged.

--- a/crates/basilhaven-bench/src/experiment/mod.rs
+++ b/crates/basilhaven-bench/src/experiment/mod.rs
@@ -8,6 +8,7 @@
 mod at_most_once;
 mod cold_start;
 mod config;
+mod crowds;
 pub(crate) mod data_centre;
 mod hedge;
 mod lease;
@@ -61,11 +62,13 @@
     Partition,
     /// Upstreams that slow down suddenly.
     Hedge,
+    /// Clients that hold connections without making calls, beside ordinary callers.
+    Crowds,
 }
 
 impl Experiment {
     /// All experiments, in the order in which they are listed.
-    pub const ALL: [Experiment; 18] = [
+    pub const ALL: [Experiment; 19] = [
         Experiment::Path,
         Experiment::Added,
         Experiment::Tail,
@@ -84,6 +87,7 @@
         Experiment::Shutdown,
         Experiment::Partition,
         Experiment::Hedge,
+        Experiment::Crowds,
     ];
 
     /// Returns the name of the experiment on the command line.
@@ -107,6 +111,7 @@
             Experiment::Shutdown => "shutdown",
             Experiment::Partition => "partition",
             Experiment::Hedge => "hedge",
+            Experiment::Crowds => "crowds",
         }
     }
 
@@ -131,6 +136,7 @@
             Experiment::Shutdown => "6 daemons replaced one after another under load: no call is interrupted",
             Experiment::Partition => "6 daemons partitioned into two groups: behaviour meanwhile, and recovery",
             Experiment::Hedge => "tail latency while upstreams slow down suddenly, with and without hedging",
+            Experiment::Crowds => "ordinary callers beside seven kinds of crowds: served share, p99, memory, stop",
         }
     }
 
@@ -155,6 +161,7 @@
             Experiment::Shutdown => shutdown::run(seed).await,
             Experiment::Partition => partition::run(seed).await,
             Experiment::Hedge => hedge::run(seed).await,
+            Experiment::Crowds => crowds::run(seed).await,
         }
     }
 }
--- a/crates/basilhaven-bench/src/main.rs
+++ b/crates/basilhaven-bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use basilhaven_bench::standin::{block_on, caller, coordinator, platform, relay, upstream};
-use basilhaven_bench::{demo, experiment, soak};
+use basilhaven_bench::{crowd, demo, experiment, soak};
 use bpaf::Bpaf;
 
 /// The command to run.
@@ -35,6 +35,9 @@
     /// Stand-in: callers
     #[bpaf(command)]
     Caller(#[bpaf(external(caller::options))] caller::Options),
+    /// Play clients that hold connections of a host without making ordinary calls
+    #[bpaf(command)]
+    Crowd(#[bpaf(external(crowd::options))] crowd::Options),
     /// Run real hosts under random faults, and print which properties did not hold
     #[bpaf(command)]
     Soak(#[bpaf(external(soak::options))] soak::Options),
@@ -77,6 +80,11 @@
             caller::run(options);
             true
         }
+        Command::Crowd(options) => {
+            let summary = crowd::run(options);
+            println!("{}", serde_json::to_string(&summary).expect("serialization does not fail"));
+            true
+        }
         Command::Soak(options) => {
             let outcome = block_on(soak::run(options));
             println!("{}", serde_json::to_string(&outcome).expect("serialization does not fail"));
--- a/crates/basilhaven-bench/src/process.rs
+++ b/crates/basilhaven-bench/src/process.rs
@@ -4,6 +4,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use nix::sys::resource;
 use serde::de::DeserializeOwned;
 
 /// How long a process may take to print its ready line.
@@ -218,6 +219,19 @@
     }
 }
 
+/// Raises the limit on the descriptors of this process, and of those that it starts, if it is lower.
+///
+/// # Panics
+///
+/// Panics if the operating system refuses.
+pub fn allow_descriptors(count: u64) {
+    let (soft, hard) = resource::getrlimit(resource::Resource::RLIMIT_NOFILE).expect("a limit");
+    if soft < count {
+        let set = resource::setrlimit(resource::Resource::RLIMIT_NOFILE, count.min(hard), hard);
+        set.expect("a limit below the hard one");
+    }
+}
+
 /// Returns a new path for a temporary file with this extension.
 pub fn temporary_file(extension: &str) -> PathBuf {
     use std::sync::atomic::{AtomicU64, Ordering};
--- a/crates/basilhaven-bench/src/soak/caller.rs
+++ b/crates/basilhaven-bench/src/soak/caller.rs
@@ -87,6 +87,24 @@
         Callers { stop, threads }
     }
 
+    /// Starts a caller that opens a connection for each call. A connection that cannot be opened
+    /// counts as a call that was cut.
+    pub fn start_reconnecting(hosts: &Hosts, seed: u64, interval: Duration) -> Callers {
+        let stop = Arc::new(AtomicBool::new(false));
+        let (is_stopped, hosts) = (Arc::clone(&stop), Arc::clone(hosts));
+        let mut random = fastrand::Rng::with_seed(seed);
+        let thread = std::thread::spawn(move || {
+            let mut records = Vec::new();
+            while !is_stopped.load(Ordering::Relaxed) {
+                let id = format!("new-{}", records.len());
+                records.push(call_once(&hosts, id, &mut random));
+                std::thread::sleep(interval);
+            }
+            records
+        });
+        Callers { stop, threads: vec![thread] }
+    }
+
     /// Stops the callers and returns the records of all calls.
     ///
     /// # Panics
@@ -131,6 +149,24 @@
     records
 }
 
+/// Makes one call on a connection of its own.
+fn call_once(hosts: &Hosts, id: String, random: &mut fastrand::Rng) -> Record {
+    let sent = Instant::now();
+    let Some((host, mut stream)) = connect(hosts, random) else {
+        return Record {
+            id,
+            method: "GET",
+            path: String::new(),
+            host: 0,
+            deadline: CONNECT_TIMEOUT,
+            sent,
+            ended: Instant::now(),
+            end: End::Cut,
+        };
+    };
+    Record { sent, ..call(&mut stream, host, id, random) }
+}
+
 fn connect(hosts: &Hosts, random: &mut fastrand::Rng) -> Option<(usize, TcpStream)> {
     let (number, address) = {
         let hosts = hosts.lock().expect("no thread panics while it holds the list");
--- a/crates/basilhaven-bench/src/soak/mod.rs
+++ b/crates/basilhaven-bench/src/soak/mod.rs
@@ -14,6 +14,8 @@
 use indexmap::IndexMap;
 use serde::Serialize;
 
+use crate::crowd::{self, Crowd};
+
 pub mod caller;
 pub mod check;
 pub mod delay;
@@ -32,6 +34,11 @@
 /// Calls made through each host after recovery, all of which must succeed.
 const FINAL_CALLS: usize = 10;
 
+/// The connections of a crowd, to all hosts together, and the limits of a host beside it.
+const CROWD_CONNECTIONS: usize = 200;
+const LIMITS_BESIDE_CROWD: system::Limits =
+    &[("BASILHAVEN_MEMORY_MB", "64"), ("BASILHAVEN_MAX_FDS", "800")];
+
 /// The longest time that an upstream may still execute a call after the callers have stopped.
 const DRAIN_DELAY: Duration = Duration::from_millis(1_500);
 
@@ -59,11 +66,14 @@
     /// Number of callers
     #[bpaf(long, argument("N"), fallback(8))]
     pub callers: usize,
+    /// What clients do that hold connections of the hosts all the time, beside the callers
+    #[bpaf(long, argument("PROFILE"))]
+    pub crowd: Option<crowd::Profile>,
 }
 
 impl Default for Options {
     fn default() -> Options {
-        Options { seed: 1, seconds: 20, hosts: 5, upstreams: 4, callers: 8 }
+        Options { seed: 1, seconds: 20, hosts: 5, upstreams: 4, callers: 8, crowd: None }
     }
 }
 
@@ -78,6 +88,8 @@
     pub processes: usize,
     /// The index of calls by outcome: a status code, `cut` or `timed-out`.
     pub calls: IndexMap<String, usize>,
+    /// What the crowd has met, if there was one.
+    pub crowd: Option<crowd::Summary>,
     /// The properties that were violated.
     pub findings: Vec<check::Violation>,
     /// The longest delay of a thread of the soak itself, in milliseconds: what the machine did to
@@ -94,13 +106,16 @@
     let size = plan::Size { hosts: options.hosts, upstreams: options.upstreams };
     let net = (FIRST_NET + options.seed % NET_COUNT) as u8;
     let delay = delay::Monitor::start();
-    let mut system = system::System::start(size, net).await;
+    let limits = options.crowd.map_or(&[][..], |_| LIMITS_BESIDE_CROWD);
+    let mut system = system::System::start(size, net, limits).await;
     let mut violations = Vec::new();
     if !converges(&mut system).await {
         violations.push(violation("the hosts start", "not converged at the start".to_owned()));
     }
     let steps = plan::generate(options.seed, size, Duration::from_secs(options.seconds));
     let callers = caller::Callers::start(options.callers, options.seed, &system.callers);
+    let start_crowd = |profile| Crowd::start(&system.callers, profile, CROWD_CONNECTIONS);
+    let crowd = options.crowd.map(start_crowd);
     let started = Instant::now();
     for event in &steps {
         while started.elapsed() < event.at {
@@ -117,6 +132,7 @@
         ));
     }
     let mut records = callers.finish();
+    let crowd = crowd.map(Crowd::finish);
     monoio::time::sleep(DRAIN_DELAY).await;
     records.extend(final_calls(&system, options.seed, &mut violations));
     let delays = system.hosts().filter_map(|host| host.metric("basilhaven_longest_delay_seconds"));
@@ -130,6 +146,7 @@
         steps: steps.len(),
         processes: system.history.runs.len(),
         calls: count_by_outcome(&records),
+        crowd,
         findings,
         own_delay_ms: delay.longest().as_millis() as u64,
         host_delays_ms,
--- a/crates/basilhaven-bench/src/soak/system.rs
+++ b/crates/basilhaven-bench/src/soak/system.rs
@@ -95,6 +95,9 @@
     pub evacuations: Vec<Span>,
 }
 
+/// Settings that limit what a host uses.
+pub type Limits = &'static [(&'static str, &'static str)];
+
 /// The running system.
 pub struct System {
     store: Store,
@@ -112,6 +115,7 @@
     ips: Vec<Ipv4Addr>,
     peer_port: u16,
     seeds: String,
+    limits: Limits,
     version: u64,
     /// The addresses at which hosts accept calls.
     pub callers: caller::Hosts,
@@ -126,7 +130,7 @@
     }
 
     /// Starts the system, with the hosts on addresses of the loopback network `127.0.NET.0/24`.
-    pub async fn start(size: Size, net: u8) -> System {
+    pub async fn start(size: Size, net: u8, limits: Limits) -> System {
         let store = Store::start();
         let mut upstreams = Vec::new();
         let links = Links::default();
@@ -151,6 +155,7 @@
             hosts: ips.iter().map(|_| HostState::Restarting(Instant::now())).collect(),
             peer_port: gateway::free_peer_port(&ips),
             seeds: seeds.join(","),
+            limits,
             callers: Arc::new(Mutex::new(vec![None; ips.len()])),
             ips,
             version: 0,
@@ -187,7 +192,7 @@
     async fn start_host(&self, index: usize) -> HostState {
         let store = self.store_links[index].address();
         let data_centre = ["a", EVACUATED][index % 2];
-        let settings = [("BASILHAVEN_DATA_CENTRE", data_centre)];
+        let settings = [&[("BASILHAVEN_DATA_CENTRE", data_centre)], self.limits].concat();
         let started = Instant::now();
         let host =
             Host::start_with(store, self.ips[index], self.peer_port, &self.seeds, &settings).await;
--- a/crates/basilhaven-bench/tests/clients.rs
+++ b/crates/basilhaven-bench/tests/clients.rs
@@ -15,12 +15,12 @@
 
 use basilhaven_bench::gateway::{config_with, receive, send, wait_until, Host, SERVICE};
 use basilhaven_bench::monitor::{Monitor, Peak};
+use basilhaven_bench::process;
 use basilhaven_bench::standin::block_on;
 use basilhaven_bench::standin::users::store::Store;
 use basilhaven_bench::standin::users::upstream::{
     Behaviour, Content, Endless, Upstream, MEDIUM_LEN,
 };
-use nix::sys::resource;
 use socket2::{Domain, Socket, Type};
 
 /// The memory of the gateway, in units of 1,000,000 bytes. The crowds would make it hold about three
@@ -161,15 +161,6 @@
     streams
 }
 
-/// Raises the limit on the descriptors of this process, and of those that it starts, if it is lower.
-fn allow_descriptors(count: u64) {
-    let (soft, hard) = resource::getrlimit(resource::Resource::RLIMIT_NOFILE).expect("a limit");
-    if soft < count {
-        let set = resource::setrlimit(resource::Resource::RLIMIT_NOFILE, count.min(hard), hard);
-        set.expect("a limit below the hard one");
-    }
-}
-
 /// Connects as a caller whose system receives little before it is read.
 fn connect_with_small_window(address: SocketAddr) -> TcpStream {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
@@ -237,7 +228,7 @@
 #[test]
 fn many_connections_with_short_bodies_are_held_within_the_memory() {
     run_alone(async {
-        allow_descriptors(MANY_FDS);
+        process::allow_descriptors(MANY_FDS);
         let fixture = Fixture::start_with(MAX_BODY_LEN, MEMORY_MB_OF_MANY, MANY_FDS).await;
         let crowd = play(fixture.host.callers, MANY_CLIENTS, |client| {
             let head = head(client, &format!("Content-Length: {SHORT_BODY_LEN}"));
