--- a/crates/basilhaven-bench/src/crowd.rs
+++ b/crates/basilhaven-bench/src/crowd.rs
@@ -282,6 +282,7 @@
                 let head = self.head(attempt, "");
                 send_without_end(&mut conn, head, b"x: y\r\n", FIELD_INTERVAL).await
             }
+            // No client is `Mixed` itself.
             Profile::Reconnect | Profile::Mixed => Ok(()),
         }
     }
--- a/crates/basilhaven-bench/src/experiment/crowds.rs
+++ b/crates/basilhaven-bench/src/experiment/crowds.rs
@@ -1,5 +1,7 @@
 //! `crowds`: ordinary callers of a host beside each kind of [crowd](crate::crowd), compared with the
 //! same callers without one. At the end the host is told to stop while the crowd goes on.
+//!
+//! `long-crowd`: the memory of a host after ten minutes of a mixed crowd, compared with the first.
 
 use std::net::Ipv4Addr;
 use std::sync::{Arc, Mutex};
@@ -10,7 +12,7 @@
 use crate::crowd::{self, Crowd};
 use crate::gateway::{self, Host};
 use crate::monitor::Monitor;
-use crate::process::Signal;
+use crate::process::{self, Signal};
 use crate::report::Report;
 use crate::soak::caller::{self, Callers, End, Record};
 use crate::standin::caller::Latency;
@@ -35,6 +37,15 @@
 const QUIET_TIME: Duration = Duration::from_secs(1);
 const CROWD_TIME: Duration = Duration::from_secs(8);
 
+/// How long the long crowd goes on, the time at its beginning and at its end that are compared, and
+/// how often the memory is sampled.
+const LONG_TIME: Duration = Duration::from_secs(600);
+const COMPARED_TIME: Duration = Duration::from_secs(60);
+const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The limit on the ratio of the resident memory at the end to that at the beginning.
+const MAX_GROWTH: f64 = 1.1;
+
 /// How long a host may take to stop: its grace time and a second.
 const STOP_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -122,37 +133,89 @@
     }
 }
 
+/// Runs the experiment on a long crowd.
+pub async fn run_long(seed: u64) -> Report {
+    let mut report = Report::new("long-crowd", seed);
+    let site = Site::start().await;
+    let callers = Callers::start(CALLERS, seed, &site.callers);
+    let crowd = Crowd::start(&site.callers, crowd::Profile::Mixed, CONNECTIONS);
+    let mut samples = Vec::new();
+    let began = Instant::now();
+    while began.elapsed() < LONG_TIME {
+        monoio::time::sleep(SAMPLE_INTERVAL).await;
+        samples.push(site.host.process.resident_bytes());
+    }
+    let crowd = crowd.finish();
+    let calls = Calls::from(&callers.finish()[..]);
+    let compared = (COMPARED_TIME.as_secs_f64() / SAMPLE_INTERVAL.as_secs_f64()) as usize;
+    let compared = compared.min(samples.len());
+    let first = median(&samples[..compared]);
+    let last = median(&samples[samples.len() - compared..]);
+    let growth = last as f64 / first as f64;
+    report.baseline("first_minute_bytes", first);
+    report.figure("last_minute_bytes", last);
+    report.figure("growth", (growth * 1000.0).round() / 1000.0);
+    report.figure("peak_bytes", site.host.process.peak_bytes());
+    report.figure("calls", &calls);
+    report.figure("crowd", crowd);
+    report.target("growth", MAX_GROWTH, growth <= MAX_GROWTH);
+    report.target("wrong", 0, calls.wrong == 0);
+    let starts = site.host.process.event_count("started");
+    report.target("starts", 1, starts == 1);
+    report
+}
+
+fn median(samples: &[u64]) -> u64 {
+    let mut sorted = samples.to_vec();
+    sorted.sort_unstable();
+    sorted[sorted.len() / 2]
+}
+
+/// A host with a store and upstreams.
+struct Site {
+    host: Host,
+    callers: caller::Hosts,
+    _store: Store,
+}
+
+impl Site {
+    async fn start() -> Site {
+        let store = Store::start();
+        store.put("op", "config", &gateway::config(1, gateway::SERVICE));
+        for number in 0..UPSTREAMS {
+            let upstream = Upstream::start(&format!("i-{number}"), Behaviour::Serves(SERVICE_TIME));
+            store.put("servers", &upstream.id, &upstream.entry(gateway::SERVICE, "v1", "ready"));
+        }
+        let (memory, fds) = ((MEMORY_BYTES / 1_000_000).to_string(), MAX_FDS.to_string());
+        let settings = [("BASILHAVEN_MEMORY_MB", &*memory), ("BASILHAVEN_MAX_FDS", &*fds)];
+        process::allow_descriptors(MAX_FDS);
+        let host = Host::start_with(store.address(), Ipv4Addr::LOCALHOST, 0, "", &settings).await;
+        gateway::wait_until("the host is ready", || host.is_ready()).await;
+        let callers = Arc::new(Mutex::new(vec![Some(host.callers)]));
+        Site { host, callers, _store: store }
+    }
+}
+
 /// Runs a host beside a crowd, or without one.
 async fn measure(seed: u64, profile: Option<crowd::Profile>) -> Outcome {
-    let store = Store::start();
-    store.put("op", "config", &gateway::config(1, gateway::SERVICE));
-    for number in 0..UPSTREAMS {
-        let upstream = Upstream::start(&format!("i-{number}"), Behaviour::Serves(SERVICE_TIME));
-        store.put("servers", &upstream.id, &upstream.entry(gateway::SERVICE, "v1", "ready"));
-    }
-    let (memory, fds) = ((MEMORY_BYTES / 1_000_000).to_string(), MAX_FDS.to_string());
-    let settings = [("BASILHAVEN_MEMORY_MB", &*memory), ("BASILHAVEN_MAX_FDS", &*fds)];
-    crate::process::allow_descriptors(MAX_FDS);
-    let mut host = Host::start_with(store.address(), Ipv4Addr::LOCALHOST, 0, "", &settings).await;
-    gateway::wait_until("the host is ready", || host.is_ready()).await;
-
-    let hosts: caller::Hosts = Arc::new(Mutex::new(vec![Some(host.callers)]));
-    let kept = Callers::start(CALLERS, seed, &hosts);
-    let new = caller::Callers::start_reconnecting(&hosts, seed, NEW_CONNECTION_INTERVAL);
+    let mut site = Site::start().await;
+    let (process, address) = (site.host.process.id(), site.host.callers);
+    let kept = Callers::start(CALLERS, seed, &site.callers);
+    let new = Callers::start_reconnecting(&site.callers, seed, NEW_CONNECTION_INTERVAL);
     monoio::time::sleep(QUIET_TIME).await;
-    let monitor = Monitor::start(host.process.id(), &[host.callers.port()], &[]);
+    let monitor = Monitor::start(process, &[address.port()], &[]);
     let began = Instant::now();
-    let crowd = profile.map(|profile| Crowd::start(&hosts, profile, CONNECTIONS));
+    let crowd = profile.map(|profile| Crowd::start(&site.callers, profile, CONNECTIONS));
     monoio::time::sleep(CROWD_TIME).await;
     let finish = |callers: Callers| -> Vec<Record> {
         callers.finish().into_iter().filter(|record| record.sent >= began).collect()
     };
     let (kept, new) = (finish(kept), finish(new));
-    let delay = host.metric("basilhaven_longest_delay_seconds");
+    let delay = site.host.metric("basilhaven_longest_delay_seconds");
     let peak = monitor.finish();
     let told = Instant::now();
-    host.process.signal(Signal::Terminate);
-    let has_stopped = host.process.wait(STOP_TIMEOUT).await == Some(true);
+    site.host.process.signal(Signal::Terminate);
+    let has_stopped = site.host.process.wait(STOP_TIMEOUT).await == Some(true);
     Outcome {
         kept: Calls::from(&kept[..]),
         new: Calls::from(&new[..]),
--- a/crates/basilhaven-bench/src/experiment/mod.rs
+++ b/crates/basilhaven-bench/src/experiment/mod.rs
@@ -64,11 +64,13 @@
     Hedge,
     /// Clients that hold connections without making calls, beside ordinary callers.
     Crowds,
+    /// The memory of a host after ten minutes of such clients.
+    LongCrowd,
 }
 
 impl Experiment {
     /// All experiments, in the order in which they are listed.
-    pub const ALL: [Experiment; 19] = [
+    pub const ALL: [Experiment; 20] = [
         Experiment::Path,
         Experiment::Added,
         Experiment::Tail,
@@ -88,6 +90,7 @@
         Experiment::Partition,
         Experiment::Hedge,
         Experiment::Crowds,
+        Experiment::LongCrowd,
     ];
 
     /// Returns the name of the experiment on the command line.
@@ -112,6 +115,7 @@
             Experiment::Partition => "partition",
             Experiment::Hedge => "hedge",
             Experiment::Crowds => "crowds",
+            Experiment::LongCrowd => "long-crowd",
         }
     }
 
@@ -137,6 +141,7 @@
             Experiment::Partition => "6 daemons partitioned into two groups: behaviour meanwhile, and recovery",
             Experiment::Hedge => "tail latency while upstreams slow down suddenly, with and without hedging",
             Experiment::Crowds => "ordinary callers beside seven kinds of crowds: served share, p99, memory, stop",
+            Experiment::LongCrowd => "the memory of a host after ten minutes of a mixed crowd",
         }
     }
 
@@ -162,6 +167,7 @@
             Experiment::Partition => partition::run(seed).await,
             Experiment::Hedge => hedge::run(seed).await,
             Experiment::Crowds => crowds::run(seed).await,
+            Experiment::LongCrowd => crowds::run_long(seed).await,
         }
     }
 }
