Wait for responses, not for sends, in a test of slow readers

The test waits until the calls are answered, by eight lines `sent`, and then lets the upstream serve.

Change: the test waits until each caller has received the first byte of its response. All assertions are unchanged.

--- a/crates/basilhaven-bench/tests/clients.rs
+++ b/crates/basilhaven-bench/tests/clients.rs
@@ -169,6 +169,14 @@
     socket.into()
 }
 
+/// Returns whether a response has begun to arrive. Nothing of it is read.
+fn has_response(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).expect("a socket option");
+    let has_begun = matches!(stream.peek(&mut [0]), Ok(1));
+    stream.set_nonblocking(false).expect("a socket option");
+    has_begun
+}
+
 /// Returns the head of a client's request with this field.
 fn head(client: usize, field: &str) -> Vec<u8> {
     let head = format!(
@@ -394,8 +402,7 @@
         for (number, stream) in callers.iter_mut().enumerate() {
             send(stream, "GET", "/safe/a", &format!("slow-{number}"), 5000).expect("a gateway");
         }
-        let is_sent = || fixture.host.process.event_count("sent") >= callers.len();
-        wait_until("the calls are answered", is_sent).await;
+        wait_until("the calls are answered", || callers.iter().all(has_response)).await;
         fixture.upstream.set_behaviour(Behaviour::Serves(Duration::ZERO));
         let crowd =
             play(fixture.host.callers, CONNECTIONS, |client| vec![with_body(client, 1000, 999)]);
